--- /dev/null
+++ b/crates/policy/src/assign.rs
@@ -0,0 +1,116 @@
+//! Assignment of endpoints to instances by hashing, with no agreement between the instances.
+//!
+//! Instances that know the same names come to the same answer. While their views differ, an item
+//! may have two owners or none for a moment; use these functions only where that does no harm.
+
+use std::cmp::Reverse;
+
+use sha2::{Digest, Sha256};
+
+/// Returns the index of the instance that owns `item`, by rendezvous hashing.
+///
+/// The loss of an instance moves only the items that it owned. Returns `None` without instances.
+pub fn owner<S: AsRef<str>>(item: &str, instances: &[S]) -> Option<usize> {
+    let hash = hash_name(item);
+    (0..instances.len()).max_by_key(|index| score(hash, hash_name(instances[*index].as_ref())))
+}
+
+/// Assigns each item to one instance, so that no instance gets more than its even part.
+///
+/// An instance takes at most `items / instances`, rounded up. An item goes to its best instance by
+/// rendezvous hashing that still has room. The result holds one index into `instances` for each
+/// item, and is empty without instances. It does not depend on the order of the names.
+pub fn assign_evenly<S: AsRef<str>>(items: &[S], instances: &[S]) -> Vec<usize> {
+    if instances.is_empty() {
+        return Vec::new();
+    }
+    let limit = items.len().div_ceil(instances.len());
+    let hashes: Vec<u64> = instances.iter().map(|name| hash_name(name.as_ref())).collect();
+    let mut order: Vec<(u64, usize)> =
+        items.iter().enumerate().map(|(index, name)| (hash_name(name.as_ref()), index)).collect();
+    order.sort_unstable();
+    let mut taken = vec![0; instances.len()];
+    let mut owners = vec![0; items.len()];
+    for (hash, index) in order {
+        let open = (0..hashes.len()).filter(|candidate| taken[*candidate] < limit);
+        let best = open.max_by_key(|candidate| score(hash, hashes[*candidate])).unwrap_or(0);
+        taken[best] += 1;
+        owners[index] = best;
+    }
+    owners
+}
+
+/// One endpoint of a pool that is split into subsets.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SubsetItem<'a> {
+    /// Name of the endpoint.
+    pub name: &'a str,
+    /// Failure domain of the endpoint.
+    pub domain: &'a str,
+}
+
+/// Returns the indices into `pool` of the endpoints that `entry` uses.
+///
+/// The pool is laid out as a ring in hash order with the failure domains taking turns, and each
+/// entry takes an arc of `size` endpoints. The arcs start at even distances, so that the numbers
+/// of entries that use two endpoints differ by at most one, and a change of the number of
+/// entries moves each arc only a little. With `size` at least the pool's size, all are returned.
+/// Call it once for each pool of a service and model, so that no pool is left out. An entry that is
+/// not among `entries` is treated as if it were added to them.
+pub fn subset<S: AsRef<str>>(
+    entry: &str,
+    entries: &[S],
+    pool: &[SubsetItem<'_>],
+    size: usize,
+) -> Vec<usize> {
+    if size >= pool.len() {
+        return (0..pool.len()).collect();
+    }
+    let mut names: Vec<&str> = entries.iter().map(AsRef::as_ref).collect();
+    names.push(entry);
+    names.sort_unstable();
+    names.dedup();
+    let rank = names.iter().position(|name| *name == entry).unwrap_or(0);
+    let ring = interleave_domains(pool);
+    let start = rank * pool.len() / names.len();
+    (0..size).map(|step| ring[(start + step) % ring.len()]).collect()
+}
+
+/// Orders a pool by hash, with the failure domains taking turns.
+fn interleave_domains(pool: &[SubsetItem<'_>]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..pool.len()).collect();
+    order.sort_by_cached_key(|index| (pool[*index].domain, hash_name(pool[*index].name)));
+    let mut turns: Vec<(usize, &str, usize)> = Vec::with_capacity(pool.len());
+    let mut turn = 0;
+    for (position, index) in order.iter().enumerate() {
+        let domain = pool[*index].domain;
+        let first = position == 0 || pool[order[position - 1]].domain != domain;
+        turn = if first { 0 } else { turn + 1 };
+        turns.push((turn, domain, *index));
+    }
+    turns.sort_unstable();
+    turns.into_iter().map(|(_, _, index)| index).collect()
+}
+
+/// Ranks names in an order that all instances share, the same for each call.
+pub fn rank<S: AsRef<str>>(names: &[S]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..names.len()).collect();
+    order.sort_by_cached_key(|index| (Reverse(hash_name(names[*index].as_ref())), *index));
+    order
+}
+
+/// Hashes a name; the same in every process and build.
+fn hash_name(name: &str) -> u64 {
+    let digest = Sha256::digest(name.as_bytes());
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&digest[..8]);
+    u64::from_le_bytes(bytes)
+}
+
+/// Mixes the hashes of an item and an instance into the item's preference for the instance.
+fn score(item: u64, instance: u64) -> u64 {
+    let mut mixed = item ^ instance.rotate_left(32);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- /dev/null
+++ b/crates/policy/src/roles.rs
@@ -0,0 +1,5 @@
+//! Choice of the engines' roles.
+
+mod planner;
+
+pub use planner::{RoleChange, RolePlanner, RoleSettings};
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use agatestair_schema::link::{
-    CacheBatch, EndpointKind, EndpointState, EndpointView, FleetView, ShareGrant,
+    CacheBatch, EndpointKind, EndpointState, EndpointView, FleetView, Observation, PlanDemand,
+    ShareGrant,
 };
 use agatestair_schema::lists::Lists;
 use agatestair_schema::settings::PolicyName;
@@ -185,6 +186,16 @@
         }
     }
 
+    /// Demand and draw of each plan since the last call, for [`crate::ShareAllocator`].
+    pub fn take_demand(&mut self, _now: Moment) -> Vec<PlanDemand> {
+        Vec::new()
+    }
+
+    /// What was seen of each endpoint since the last call, for the load collector.
+    pub fn take_observations(&mut self, _now: Moment) -> Vec<Observation> {
+        Vec::new()
+    }
+
     fn check_allowed(&self, facts: &RequestFacts) -> Result<u32, Refusal> {
         let refusal = Refusal { code: RefusalCode::NotAllowed, retry_after: None };
         let lists = self.lists.as_ref().ok_or(refusal)?;
