--- /dev/null
+++ b/crates/platform/src/error.rs
@@ -0,0 +1,85 @@
+//! Why a call of the platform failed.
+
+use std::fmt;
+
+/// Failure of one call.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PlatformError {
+    /// No answer came; a write may have taken effect.
+    Lost {
+        /// Cause given by the HTTP client.
+        cause: String,
+    },
+    /// The platform could not be reached or refused all work; nothing took effect.
+    Unavailable {
+        /// Cause given by the HTTP client, or the status.
+        cause: String,
+    },
+    /// The platform's rate limit; nothing took effect.
+    Throttled {
+        /// Time after which to ask again, in milliseconds.
+        retry_ms: u64,
+    },
+    /// The limit of this process; the call was not sent.
+    OverRate {
+        /// Label of the purpose.
+        purpose: &'static str,
+    },
+    /// The platform understood the call and refused it.
+    Refused {
+        /// HTTP status.
+        status: u16,
+        /// Body of the answer, shortened.
+        body: String,
+    },
+    /// The answer or the value of a row was not of the expected shape.
+    Malformed {
+        /// What was read.
+        what: String,
+        /// Cause given by the decoder.
+        cause: String,
+    },
+}
+
+impl PlatformError {
+    /// Whether the call is known to have had no effect.
+    pub fn without_effect(&self) -> bool {
+        !matches!(self, Self::Lost { .. } | Self::Malformed { .. })
+    }
+}
+
+impl fmt::Display for PlatformError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Lost { cause } => write!(
+                f,
+                "no answer from the platform: {cause}; the call may have taken effect, read the \
+                 row before repeating it"
+            ),
+            Self::Unavailable { cause } => write!(
+                f,
+                "the platform is unavailable: {cause}; check `platform.address` and that the \
+                 platform's store is up, then repeat"
+            ),
+            Self::Throttled { retry_ms } => {
+                write!(f, "the platform's rate limit is reached; repeat after {retry_ms} ms")
+            }
+            Self::OverRate { purpose } => write!(
+                f,
+                "this process has used its rate of platform calls ({purpose}); repeat later or \
+                 raise `platform.reads_s` or `platform.writes_s`"
+            ),
+            Self::Refused { status, body } => write!(
+                f,
+                "the platform refused the call with status {status}: {body}; report this as a \
+                 defect"
+            ),
+            Self::Malformed { what, cause } => write!(
+                f,
+                "cannot read {what}: {cause}; check that all programs are of the same version"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for PlatformError {}
