--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -53,3 +53,10 @@
     expect_that!(document.value.platform.timeout_ms, eq(1000));
     Ok(())
 }
+
+proptest::proptest! {
+    #[test]
+    fn arbitrary_text_is_refused_or_read(text in "[\\[\\]{}:,\"/a-z0-9 \\n*]{0,80}") {
+        let _ = read_text::<CtlSettings>("t.jsonc", &text, CTL);
+    }
+}
