--- /dev/null
+++ b/crates/entry/src/core/actor.rs
@@ -0,0 +1,277 @@
+//! The actor that owns the state of the entry.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+use std::time::{Duration, Instant};
+
+use agatestair_link::{LinkKey, LinkNode};
+use agatestair_policy::{
+    Action, AttemptEnd, AttemptKey, Moment, Refusal, RequestKey, Scheduler, SchedulerSettings,
+};
+use agatestair_schema::link::{Authority, FleetView};
+use agatestair_schema::settings::EntrySettings;
+use agatestair_schema::slo::SloCounts;
+use slog::Logger;
+use slotmap::SecondaryMap;
+use stakker::sync::{Channel, ChannelGuard};
+use stakker::{CX, MinTimerKey, after, call, fwd_to, lazy, timer_min};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::core::explain::ExplainRing;
+use crate::core::job::{Attempt, Job};
+use crate::core::message::{EntryMessage, RequestNumber};
+use crate::core::slo::SloBook;
+use crate::endpoint::adapter::{EngineAdapter, standard};
+use crate::protections::Protections;
+use crate::refusal::Refused;
+use crate::view::View;
+
+/// Interval at which deadlines and silent attempts are looked for.
+const WATCH_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which the service-level counters are written.
+const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(10);
+/// Shortest wait before the scheduler is polled again.
+const MIN_WAKE: Duration = Duration::from_millis(1);
+
+/// What the actor is given.
+pub struct ActorParts {
+    /// Settings.
+    pub settings: Arc<EntrySettings>,
+    /// Identifier of this run.
+    pub boot: Arc<str>,
+    /// Protections in force.
+    pub protections: Protections,
+    /// Links.
+    pub node: LinkNode,
+    /// Takes the state that other threads need.
+    pub view: watch::Sender<View>,
+    /// Cancelled by the actor when no connection is to be accepted any more.
+    pub closing: CancellationToken,
+    /// Cancelled by the actor when the process should end.
+    pub done: CancellationToken,
+    /// Takes snapshots of the service-level counters.
+    pub snapshots: Option<Sender<Vec<SloCounts>>>,
+    /// Log.
+    pub log: Logger,
+}
+
+/// State of the link to the control process beside the entry.
+#[derive(Default)]
+pub struct ControlState {
+    /// Open link.
+    pub link: Option<LinkKey>,
+    /// Last word on the freshness of the lists, on this link.
+    pub authority: Option<Authority>,
+    /// When the lists were last vouched for.
+    pub vouched: Option<Instant>,
+    /// Endpoints last told of.
+    pub fleet: Option<FleetView>,
+}
+
+/// How far the shutdown is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    /// Serving.
+    Serving,
+    /// Out of the answers, still serving.
+    Leaving,
+    /// Finishing the last requests.
+    Closing,
+}
+
+/// Owns the state of the entry.
+pub struct EntryActor {
+    pub(super) parts: ActorParts,
+    pub(super) adapter: EngineAdapter,
+    pub(super) channel: Channel<EntryMessage>,
+    pub(super) scheduler: Scheduler,
+    pub(super) jobs: SecondaryMap<RequestKey, Job>,
+    pub(super) numbers: HashMap<RequestNumber, RequestKey>,
+    pub(super) attempts: SecondaryMap<AttemptKey, Attempt>,
+    pub(super) view: View,
+    pub(super) control: ControlState,
+    pub(super) ring: ExplainRing,
+    pub(super) slo: SloBook,
+    pub(super) phase: Phase,
+    start: Instant,
+    actions: Vec<Action>,
+    poll_due: bool,
+    wake: MinTimerKey,
+    _guard: ChannelGuard,
+}
+
+impl EntryActor {
+    /// Starts the actor; `ready` is told the channel into it.
+    pub fn init(
+        cx: CX![],
+        parts: ActorParts,
+        ready: Box<dyn FnOnce(Channel<EntryMessage>)>,
+    ) -> Option<Self> {
+        let receive = fwd_to!([cx], receive() as (EntryMessage));
+        let (channel, guard) = Channel::new(cx, receive);
+        ready(channel.clone());
+        let scheduler = Scheduler::new(SchedulerSettings {
+            policy: parts.settings.policy,
+            seed: rand::random(),
+            ..SchedulerSettings::default()
+        });
+        let start = cx.now();
+        call!([cx], watch());
+        call!([cx], beat());
+        call!([cx], snapshot());
+        Some(Self {
+            parts,
+            adapter: standard(),
+            channel,
+            scheduler,
+            jobs: SecondaryMap::new(),
+            numbers: HashMap::new(),
+            attempts: SecondaryMap::new(),
+            view: View::default(),
+            control: ControlState::default(),
+            ring: ExplainRing::default(),
+            slo: SloBook::default(),
+            phase: Phase::Serving,
+            start,
+            actions: Vec::new(),
+            poll_due: false,
+            wake: MinTimerKey::default(),
+            _guard: guard,
+        })
+    }
+
+    fn receive(&mut self, cx: CX![], message: EntryMessage) {
+        let now = cx.now();
+        match message {
+            EntryMessage::Completion(job) => self.admit_completion(now, *job),
+            EntryMessage::Call(job) => self.admit_call(now, *job),
+            EntryMessage::Gone(number) => self.caller_gone(now, number),
+            EntryMessage::Attempt { attempt, event } => self.attempt_event(now, attempt, event),
+            EntryMessage::Link(event) => self.link_event(now, event),
+            EntryMessage::Explain { request, customer, reply } => {
+                // The asker has gone if this fails.
+                let _ = reply.send(self.explain(&request, &customer));
+            }
+            EntryMessage::Count { plan, service, kind, outcome } => {
+                self.slo.count(&plan, &service, kind, outcome);
+            }
+            EntryMessage::Leave => self.leave(cx),
+            EntryMessage::Drained => self.drained(),
+        }
+        self.queue_poll(cx);
+    }
+
+    /// Has the scheduler polled once when all messages at hand have been taken.
+    pub(super) fn queue_poll(&mut self, cx: CX![]) {
+        if !self.poll_due {
+            self.poll_due = true;
+            lazy!([cx], poll());
+        }
+    }
+
+    fn poll(&mut self, cx: CX![]) {
+        self.poll_due = false;
+        let now = cx.now();
+        let moment = self.moment(now);
+        let mut actions = std::mem::take(&mut self.actions);
+        self.scheduler.poll(moment, &mut actions);
+        self.apply(now, &mut actions);
+        self.actions = actions;
+        if let Some(at) = self.scheduler.next_wake(moment) {
+            let wait = at.since(moment).max(MIN_WAKE);
+            timer_min!(&mut self.wake, now + wait, [cx], poll());
+        }
+    }
+
+    /// Carries out decisions of the scheduler.
+    pub(super) fn apply(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for action in actions.drain(..) {
+            match action {
+                Action::Start { request, attempt, name, address, purpose, .. } => {
+                    self.start_attempt(now, request, attempt, &Target { name, address, purpose });
+                }
+                Action::Cancel { attempt } => self.cancel(now, attempt),
+                Action::Refuse { request, refusal } => self.refuse(now, request, refusal),
+            }
+        }
+    }
+
+    fn refuse(&mut self, now: Instant, request: RequestKey, refusal: Refusal) {
+        let Some(job) = self.jobs.get(request) else {
+            return;
+        };
+        let mut refused = Refused::with_state(refusal.code.into(), job.state());
+        refused.retry = refusal.retry_after.or(refused.retry);
+        self.fail(now, request, refused);
+    }
+
+    /// Drops an attempt whose answer nobody wants any more and cancels it at its endpoint.
+    pub(super) fn cancel(&mut self, now: Instant, attempt: AttemptKey) {
+        let moment = self.moment(now);
+        if let Some(cancelled) = self.attempts.remove(attempt) {
+            cancelled.token.cancel();
+            self.cancel_remote(&cancelled);
+            if let Some(job) = self.jobs.get_mut(cancelled.request) {
+                job.attempts.retain(|key| *key != attempt);
+                job.may_have_run = true;
+                let at = now.saturating_duration_since(job.admitted);
+                job.explanation.add(at, format!("attempt at {} cancelled", cancelled.endpoint));
+            }
+        }
+        self.scheduler.note_end(moment, attempt, AttemptEnd::Cancelled);
+    }
+
+    /// Looks for deadlines that have passed and attempts that have gone silent.
+    pub(super) fn watch(&mut self, cx: CX![]) {
+        let now = cx.now();
+        let late: Vec<RequestKey> =
+            self.jobs.iter().filter(|(_, job)| job.deadline <= now).map(|(key, _)| key).collect();
+        for request in late {
+            self.deadline_passed(now, request);
+        }
+        let silent: Vec<AttemptKey> = self
+            .attempts
+            .iter()
+            .filter(|(_, attempt)| attempt.is_silent(now))
+            .map(|(key, _)| key)
+            .collect();
+        for attempt in silent {
+            self.attempt_silent(now, attempt);
+        }
+        self.refresh_view(now);
+        self.queue_poll(cx);
+        after!(WATCH_INTERVAL, [cx], watch());
+    }
+
+    /// Hands the counters to the writer of snapshots.
+    fn snapshot(&mut self, cx: CX![]) {
+        if let Some(snapshots) = &self.parts.snapshots {
+            // The writer has panicked if this fails, and the panic was printed.
+            let _ = snapshots.send(self.slo.counts());
+        }
+        after!(SNAPSHOT_INTERVAL, [cx], snapshot());
+    }
+
+    /// Point in time as the scheduler counts it.
+    pub(super) fn moment(&self, now: Instant) -> Moment {
+        let micros = now.saturating_duration_since(self.start).as_micros();
+        Moment(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    /// Publishes the state to the threads that serve callers.
+    pub(super) fn publish(&self) {
+        self.parts.view.send_replace(self.view.clone());
+    }
+}
+
+/// Where an attempt goes.
+pub struct Target {
+    /// Name of the endpoint.
+    pub name: Arc<str>,
+    /// Address of the endpoint.
+    pub address: Arc<str>,
+    /// What for.
+    pub purpose: agatestair_policy::Purpose,
+}
--- /dev/null
+++ b/crates/entry/src/core/attempts.rs
@@ -0,0 +1,372 @@
+//! Attempts: start, events and end.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use agatestair_policy::{AttemptEnd, AttemptKey, Purpose, RequestKey};
+use agatestair_runtime::log_event;
+use agatestair_schema::caller::RunState;
+use agatestair_schema::endpoint::{CompletionRequest, KvExport};
+use tokio::sync::mpsc::error::TrySendError;
+
+use crate::core::actor::{EntryActor, Target};
+use crate::core::assembly::{Piece, Track, Verdict};
+use crate::core::job::{Attempt, CallWork, CompletionWork, Job, JobWork};
+use crate::core::message::{AttemptEvent, AttemptFault, CallAnswer, CompletionEvent, Part};
+use crate::endpoint::client::Limits;
+use crate::endpoint::engine::{EngineAttempt, EngineWork, cancel_attempt};
+use crate::endpoint::service::ServiceAttempt;
+use crate::events::{ATTEMPT_FAILED, PIECE_DROPPED};
+use crate::refusal::{RefusalKind, Refused};
+
+/// Longest silence of an engine before its first piece.
+const FIRST_SILENCE: Duration = Duration::from_secs(10);
+/// Longest silence of an engine between two pieces.
+const PIECE_SILENCE: Duration = Duration::from_secs(2);
+/// Longest wait for a piece when later ones have arrived.
+const GAP_WAIT: Duration = Duration::from_millis(300);
+
+impl Attempt {
+    /// Whether nothing has been heard of it for too long.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let limit = if self.answered { PIECE_SILENCE } else { FIRST_SILENCE };
+        let missing = self.gap.is_some_and(|gap| now.saturating_duration_since(gap) > GAP_WAIT);
+        self.watched && (missing || now.saturating_duration_since(self.heard) > limit)
+    }
+}
+
+impl Job {
+    /// Whether it ran, as far as is known.
+    pub fn state(&self) -> RunState {
+        let dispatched = self.may_have_run || !self.attempts.is_empty();
+        if dispatched { RunState::Unknown } else { RunState::NotRun }
+    }
+}
+
+impl EntryActor {
+    /// Starts an attempt that the scheduler decided on.
+    pub(super) fn start_attempt(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        attempt: AttemptKey,
+        target: &Target,
+    ) {
+        let moment = self.moment(now);
+        let Some(job) = self.jobs.get_mut(request) else {
+            self.scheduler.note_end(moment, attempt, AttemptEnd::NotRun);
+            return;
+        };
+        if self.parts.protections.single_dispatch && job.must_not_repeat() {
+            let refused = Refused::with_state(RefusalKind::OutcomeUnknown, RunState::Unknown);
+            self.scheduler.note_end(moment, attempt, AttemptEnd::NotRun);
+            self.fail(now, request, refused);
+            return;
+        }
+        job.started += 1;
+        job.attempts.push(attempt);
+        let at = now.saturating_duration_since(job.admitted);
+        job.explanation.add(at, format!("{:?} attempt at {}", target.purpose, target.name));
+        let track = Track {
+            request: job.caller.id.clone(),
+            attempt: format!("{}.{}", job.caller.id, job.started).into(),
+            next: job.delivered(),
+            ahead: BTreeMap::new(),
+        };
+        let token = self.parts.done.child_token();
+        let started = Attempt {
+            request,
+            endpoint: target.name.clone(),
+            address: target.address.clone(),
+            purpose: target.purpose,
+            watched: matches!(job.work, JobWork::Completion(_)),
+            track,
+            heard: now,
+            gap: None,
+            answered: false,
+            token,
+        };
+        metrics::counter!("agatestair_attempts_total", "purpose" => purpose_label(target.purpose))
+            .increment(1);
+        self.dispatch(now, request, attempt, &started);
+        self.attempts.insert(attempt, started);
+    }
+
+    fn dispatch(&self, now: Instant, request: RequestKey, attempt: AttemptKey, started: &Attempt) {
+        let job = &self.jobs[request];
+        let total = job.deadline.saturating_duration_since(now).max(Duration::from_millis(1));
+        match &job.work {
+            JobWork::Completion(work) => EngineAttempt {
+                attempt,
+                address: started.address.clone(),
+                work: engine_work(work, started),
+                adapter: self.adapter,
+                limits: Limits { total, silence: FIRST_SILENCE },
+                token: started.token.clone(),
+                channel: self.channel.clone(),
+            }
+            .start(),
+            JobWork::Call(work) => ServiceAttempt {
+                attempt,
+                endpoint: started.endpoint.clone(),
+                address: started.address.clone(),
+                request: work.request.clone(),
+                limits: Limits { total, silence: total },
+                channel: self.channel.clone(),
+            }
+            .start(),
+        }
+    }
+
+    /// Takes an event of an attempt; those of attempts that were dropped count for nothing.
+    pub(super) fn attempt_event(&mut self, now: Instant, attempt: AttemptKey, event: AttemptEvent) {
+        if !self.attempts.contains_key(attempt) {
+            return;
+        }
+        match event {
+            AttemptEvent::Piece(piece) => self.take_piece(now, attempt, piece),
+            AttemptEvent::Prefilled(handle) => self.take_handle(now, attempt, handle),
+            AttemptEvent::Answer(answer) => self.take_answer(now, attempt, answer),
+            AttemptEvent::Ended => self.stream_ended(now, attempt),
+            AttemptEvent::Failed(fault) => self.attempt_failed(now, attempt, &fault),
+        }
+    }
+
+    fn take_piece(&mut self, now: Instant, key: AttemptKey, piece: Piece) {
+        let moment = self.moment(now);
+        let attempt = &mut self.attempts[key];
+        let request = attempt.request;
+        let job = &mut self.jobs[request];
+        let JobWork::Completion(work) = &mut job.work else {
+            return;
+        };
+        let mut out = Vec::new();
+        let tokens = piece.tokens;
+        let offset = piece.offset;
+        let verdict = work.assembly.take(&mut attempt.track, piece, &mut out);
+        match verdict {
+            Verdict::Taken => {
+                attempt.heard = now;
+                attempt.answered = true;
+                attempt.gap = attempt.gap.filter(|_| !attempt.track.ahead.is_empty());
+                self.scheduler.note_piece(moment, key, tokens);
+                self.hand_over(now, request, key, out);
+            }
+            Verdict::Held => attempt.gap = attempt.gap.or(Some(now)),
+            Verdict::Doubled | Verdict::Foreign => {
+                log_event!(self.parts.log, PIECE_DROPPED, "request" => &*job.caller.id,
+                    "endpoint" => &*attempt.endpoint, "verdict" => format!("{verdict:?}"));
+                metrics::counter!("agatestair_pieces_dropped_total").increment(1);
+            }
+            Verdict::Broken => {
+                self.drop_attempt(now, key, &format!("piece at {offset} does not fit"));
+            }
+        }
+    }
+
+    /// Hands pieces to the caller, and ends the request when the answer is whole.
+    fn hand_over(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        key: AttemptKey,
+        pieces: Vec<Piece>,
+    ) {
+        let job = &mut self.jobs[request];
+        let JobWork::Completion(work) = &mut job.work else {
+            return;
+        };
+        if pieces.is_empty() {
+            return;
+        }
+        if work.first.is_none() {
+            work.first = Some(now);
+            let waited = now.saturating_duration_since(job.admitted);
+            metrics::histogram!("agatestair_first_token_seconds").record(waited.as_secs_f64());
+        }
+        for piece in pieces {
+            let finish = piece.total.map(|_| piece.finish.unwrap_or_else(|| "stop".into()));
+            let part = Part { text: piece.text, tokens: piece.tokens, finish };
+            match work.reply.try_send(CompletionEvent::Part(part)) {
+                Ok(()) => {}
+                Err(TrySendError::Full(_)) => return self.caller_stuck(now, request),
+                Err(TrySendError::Closed(_)) => {
+                    let number = job.caller.number;
+                    return self.caller_gone(now, number);
+                }
+            }
+        }
+        if work.assembly.whole() {
+            self.complete(now, request, key);
+        }
+    }
+
+    fn take_handle(&mut self, now: Instant, key: AttemptKey, handle: String) {
+        let moment = self.moment(now);
+        let attempt = self.attempts.remove(key).expect("events of unknown attempts are dropped");
+        let job = &mut self.jobs[attempt.request];
+        job.attempts.retain(|live| *live != key);
+        let at = now.saturating_duration_since(job.admitted);
+        job.explanation.add(at, format!("KV cache computed at {}", attempt.endpoint));
+        if let JobWork::Completion(work) = &mut job.work {
+            work.handle = Some(handle);
+        }
+        self.scheduler.note_prefilled(moment, key);
+    }
+
+    fn take_answer(&mut self, now: Instant, key: AttemptKey, answer: CallAnswer) {
+        let request = self.attempts[key].request;
+        if answer.status == BUSY_STATUS && answer.says_not_run() {
+            let cause = "the endpoint takes no new work".to_owned();
+            let fault = AttemptFault { may_have_run: false, too_large: false, cause };
+            self.attempt_failed(now, key, &fault);
+            return;
+        }
+        self.answer_call(now, request, key, answer);
+    }
+
+    fn stream_ended(&mut self, now: Instant, key: AttemptKey) {
+        let request = self.attempts[key].request;
+        let ends = match &self.jobs[request].work {
+            JobWork::Completion(work) => work.assembly.ends_here(),
+            JobWork::Call(_) => false,
+        };
+        if ends {
+            self.end_unchecked(now, request, key);
+        } else {
+            self.attempt_failed(
+                now,
+                key,
+                &AttemptFault {
+                    may_have_run: true,
+                    too_large: false,
+                    cause: "the stream ended before the answer was whole".to_owned(),
+                },
+            );
+        }
+    }
+
+    /// Ends an attempt whose stream cannot go on, and cancels it at its engine.
+    fn drop_attempt(&mut self, now: Instant, key: AttemptKey, cause: &str) {
+        let attempt = &self.attempts[key];
+        attempt.token.cancel();
+        self.cancel_remote(attempt);
+        self.attempt_failed(
+            now,
+            key,
+            &AttemptFault { may_have_run: true, too_large: false, cause: cause.to_owned() },
+        );
+    }
+
+    /// Ends an attempt of which nothing was heard for too long.
+    pub(super) fn attempt_silent(&mut self, now: Instant, key: AttemptKey) {
+        if self.attempts.contains_key(key) {
+            metrics::counter!("agatestair_silent_attempts_total").increment(1);
+            self.drop_attempt(now, key, "nothing was heard for too long");
+        }
+    }
+
+    fn attempt_failed(&mut self, now: Instant, key: AttemptKey, fault: &AttemptFault) {
+        let moment = self.moment(now);
+        let attempt = self.attempts.remove(key).expect("events of unknown attempts are dropped");
+        let end = if fault.may_have_run { AttemptEnd::Failed } else { AttemptEnd::NotRun };
+        self.scheduler.note_end(moment, key, end);
+        let job = &mut self.jobs[attempt.request];
+        job.attempts.retain(|live| *live != key);
+        job.may_have_run |= fault.may_have_run;
+        let at = now.saturating_duration_since(job.admitted);
+        job.explanation.add(at, format!("attempt at {} failed: {}", attempt.endpoint, fault.cause));
+        log_event!(self.parts.log, ATTEMPT_FAILED, "request" => &*job.caller.id,
+            "endpoint" => &*attempt.endpoint, "cause" => &fault.cause,
+            "may_have_run" => fault.may_have_run);
+        metrics::counter!("agatestair_attempt_failures_total").increment(1);
+        let repeats = !self.parts.protections.single_dispatch || !job.must_not_repeat();
+        if fault.too_large {
+            let refused = Refused::with_state(RefusalKind::AnswerTooLarge, RunState::Done);
+            self.fail(now, attempt.request, refused);
+        } else if !repeats {
+            let refused = Refused::with_state(RefusalKind::OutcomeUnknown, RunState::Unknown);
+            self.fail(now, attempt.request, refused);
+        }
+    }
+
+    /// Cancels an attempt at its engine; plain services know no cancelling.
+    pub(super) fn cancel_remote(&self, attempt: &Attempt) {
+        if attempt.watched {
+            cancel_attempt(self.adapter, attempt.address.clone(), attempt.track.attempt.clone());
+        }
+    }
+}
+
+impl Job {
+    /// Whether it may have run and must not run again.
+    fn must_not_repeat(&self) -> bool {
+        match &self.work {
+            JobWork::Call(CallWork { idempotent: false, .. }) => {
+                self.may_have_run || !self.attempts.is_empty()
+            }
+            _ => false,
+        }
+    }
+
+    /// Output tokens that the caller holds.
+    fn delivered(&self) -> u32 {
+        match &self.work {
+            JobWork::Completion(work) => work.assembly.delivered(),
+            JobWork::Call(_) => 0,
+        }
+    }
+}
+
+fn engine_work(work: &CompletionWork, attempt: &Attempt) -> EngineWork {
+    let request = attempt.track.request.to_string();
+    let identifier = attempt.track.attempt.to_string();
+    if attempt.purpose == Purpose::Prefill {
+        return EngineWork::Export(KvExport {
+            model: work.model.to_string(),
+            prompt: work.prompt.to_string(),
+            request,
+            attempt: identifier,
+            priority: work.priority,
+        });
+    }
+    EngineWork::Completion(CompletionRequest {
+        model: work.model.to_string(),
+        prompt: work.prompt.to_string(),
+        max_tokens: work.max_tokens,
+        stream: true,
+        priority: work.priority,
+        request,
+        attempt: identifier,
+        resume_offset: attempt.track.next,
+        kv_handle: work.handle.clone(),
+    })
+}
+
+fn purpose_label(purpose: Purpose) -> &'static str {
+    match purpose {
+        Purpose::First => "first",
+        Purpose::Retry => "retry",
+        Purpose::Hedge => "hedge",
+        Purpose::Prefill => "prefill",
+    }
+}
+
+/// Status by which a service says that it takes no new work.
+const BUSY_STATUS: u16 = 503;
+/// Header by which a service says whether a refused call ran.
+pub const RAN_HEADER: &str = "x-agatestair-ran";
+
+impl CallAnswer {
+    /// Whether the service vouches that the call did not run.
+    fn says_not_run(&self) -> bool {
+        let ran = self.headers.iter().find(|(name, _)| name == RAN_HEADER);
+        ran.is_some_and(|(_, value)| value == "not_run")
+    }
+
+    /// Name of the endpoint, shared.
+    pub fn endpoint_name(&self) -> Arc<str> {
+        self.endpoint.clone()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/endpoint.rs
@@ -0,0 +1,7 @@
+//! Clients of engines and plain services.
+
+pub mod adapter;
+pub mod client;
+pub mod engine;
+pub mod service;
+pub mod sse;
--- /dev/null
+++ b/crates/entry/src/endpoint/client.rs
@@ -0,0 +1,75 @@
+//! HTTP client of one attempt. Connections are not reused: an idle one may be silent for good.
+
+use std::io;
+use std::time::Duration;
+
+use ureq::http::Response;
+use ureq::{Agent, Body, Error, Timeout};
+
+use crate::core::message::AttemptFault;
+use crate::endpoint::adapter::EnginePost;
+
+/// Longest wait for a connection.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// Buffer of one connection in bytes, each way.
+const BUFFER_BYTES: usize = 8 * 1024;
+
+/// Bounds of one exchange.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Longest time in all.
+    pub total: Duration,
+    /// Longest silence.
+    pub silence: Duration,
+}
+
+/// Opens a client for one exchange.
+pub fn open_client(limits: Limits) -> Agent {
+    Agent::config_builder()
+        .timeout_global(Some(limits.total))
+        .timeout_per_read(Some(limits.silence))
+        .timeout_per_write(Some(limits.silence))
+        .timeout_connect(Some(CONNECT_LIMIT))
+        .http_status_as_error(false)
+        .allow_non_standard_methods(true)
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
+        .max_idle_connections(0)
+        .max_idle_connections_per_host(0)
+        .max_redirects(0)
+        .build()
+        .into()
+}
+
+/// Sends a JSON `POST`.
+///
+/// # Errors
+///
+/// The client's error.
+pub fn send_post(agent: &Agent, address: &str, post: &EnginePost) -> Result<Response<Body>, Error> {
+    agent
+        .post(format!("http://{address}{}", post.path))
+        .header("Content-Type", "application/json")
+        .send(&post.body)
+}
+
+/// Fault of an exchange that ended in `error`.
+pub fn fault_of(error: &Error) -> AttemptFault {
+    AttemptFault { may_have_run: !never_sent(error), too_large: false, cause: error.to_string() }
+}
+
+/// Whether no byte can have been sent.
+fn never_sent(error: &Error) -> bool {
+    match error {
+        Error::Io(error) => matches!(
+            error.kind(),
+            io::ErrorKind::ConnectionRefused
+                | io::ErrorKind::HostUnreachable
+                | io::ErrorKind::NetworkUnreachable
+                | io::ErrorKind::AddrNotAvailable
+        ),
+        Error::Timeout(Timeout::Connect | Timeout::Resolve) => true,
+        Error::ConnectionFailed | Error::HostNotFound | Error::BadUri(_) => true,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/endpoint/engine.rs
@@ -0,0 +1,153 @@
+//! Attempts at engines, each on its own thread.
+
+use std::io::BufReader;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use agatestair_policy::AttemptKey;
+use agatestair_schema::endpoint::{CompletionRequest, KvExport};
+use stakker::sync::Channel;
+use tokio_util::sync::CancellationToken;
+use ureq::{Agent, Body};
+
+use crate::core::message::{AttemptEvent, AttemptFault, EntryMessage};
+use crate::endpoint::adapter::{EngineAdapter, EngineEvent, EnginePost};
+use crate::endpoint::client::{Limits, fault_of, open_client, send_post};
+use crate::endpoint::sse::SseReader;
+
+/// Stack of an attempt's thread in bytes.
+pub const STACK_BYTES: usize = 256 * 1024;
+/// Greatest size of an answer that is no stream, in bytes.
+const MAX_ANSWER_BYTES: u64 = 64 * 1024;
+/// Buffer of a stream's reader in bytes.
+const READ_BYTES: usize = 4 * 1024;
+/// Tries to cancel an attempt at its engine.
+const CANCEL_TRIES: u32 = 3;
+/// Bounds of one try to cancel.
+const CANCEL_LIMITS: Limits =
+    Limits { total: Duration::from_millis(500), silence: Duration::from_millis(500) };
+
+/// What is asked of an engine.
+#[derive(Clone, Debug)]
+pub enum EngineWork {
+    /// A completion.
+    Completion(CompletionRequest),
+    /// The KV cache of a prompt.
+    Export(KvExport),
+}
+
+/// One attempt at an engine.
+pub struct EngineAttempt {
+    /// Key of the attempt.
+    pub attempt: AttemptKey,
+    /// Address of the engine.
+    pub address: Arc<str>,
+    /// What is asked.
+    pub work: EngineWork,
+    /// How the engine is spoken to.
+    pub adapter: EngineAdapter,
+    /// Bounds.
+    pub limits: Limits,
+    /// Cancelled when nobody wants the answer any more.
+    pub token: CancellationToken,
+    /// Takes the events.
+    pub channel: Channel<EntryMessage>,
+}
+
+impl EngineAttempt {
+    /// Starts the attempt's thread. A failure to start it is an event like any other.
+    pub fn start(self) {
+        let attempt = self.attempt;
+        let channel = self.channel.clone();
+        let thread = thread::Builder::new().name("engine".to_owned()).stack_size(STACK_BYTES);
+        if let Err(error) = thread.spawn(move || self.run()) {
+            let fault = AttemptFault {
+                may_have_run: false,
+                too_large: false,
+                cause: format!("cannot start a thread: {error}"),
+            };
+            channel.send(EntryMessage::Attempt { attempt, event: AttemptEvent::Failed(fault) });
+        }
+    }
+
+    fn run(self) {
+        let agent = open_client(self.limits);
+        let result = match &self.work {
+            EngineWork::Completion(request) => self.stream(&agent, request),
+            EngineWork::Export(request) => self.export(&agent, request),
+        };
+        self.send(match result {
+            Ok(event) => event,
+            Err(fault) => AttemptEvent::Failed(fault),
+        });
+    }
+
+    fn send(&self, event: AttemptEvent) {
+        // The actor ends with the process; there is nobody to tell then.
+        self.channel.send(EntryMessage::Attempt { attempt: self.attempt, event });
+    }
+
+    fn stream(
+        &self,
+        agent: &Agent,
+        request: &CompletionRequest,
+    ) -> Result<AttemptEvent, AttemptFault> {
+        let body = self.post(agent, &(self.adapter.completion)(request))?;
+        let source = BufReader::with_capacity(READ_BYTES, body.into_reader());
+        let mut reader = SseReader::new(source);
+        while !self.token.is_cancelled() {
+            let data = reader.next_event().map_err(|error| ran_fault(&error))?;
+            let Some(data) = data else {
+                return Ok(AttemptEvent::Ended);
+            };
+            match (self.adapter.decode)(&data).map_err(|error| ran_fault(&error))? {
+                EngineEvent::Piece(piece) => self.send(AttemptEvent::Piece(piece)),
+                EngineEvent::Done => return Ok(AttemptEvent::Ended),
+            }
+        }
+        Err(ran_fault(&"cancelled"))
+    }
+
+    fn export(&self, agent: &Agent, request: &KvExport) -> Result<AttemptEvent, AttemptFault> {
+        let mut body = self.post(agent, &(self.adapter.export)(request))?;
+        let body = body.with_config().limit(MAX_ANSWER_BYTES).read_to_vec();
+        let body = body.map_err(|error| fault_of(&error))?;
+        let handle = (self.adapter.handle)(&body).map_err(|error| ran_fault(&error))?;
+        Ok(AttemptEvent::Prefilled(handle))
+    }
+
+    /// Sends a `POST`; answers other than 200 are faults.
+    fn post(&self, agent: &Agent, post: &EnginePost) -> Result<Body, AttemptFault> {
+        let answer = send_post(agent, &self.address, post).map_err(|error| fault_of(&error))?;
+        let status = answer.status().as_u16();
+        if status == 200 {
+            return Ok(answer.into_body());
+        }
+        Err(AttemptFault {
+            may_have_run: status >= 500 && status != 503,
+            too_large: false,
+            cause: format!("the engine answered with status {status}"),
+        })
+    }
+}
+
+fn ran_fault(cause: &impl ToString) -> AttemptFault {
+    AttemptFault { may_have_run: true, too_large: false, cause: cause.to_string() }
+}
+
+/// Cancels an attempt at its engine, on a thread of its own.
+pub fn cancel_attempt(adapter: EngineAdapter, address: Arc<str>, attempt: Arc<str>) {
+    let thread = thread::Builder::new().name("cancel".to_owned()).stack_size(STACK_BYTES);
+    // Without a thread the engine runs the attempt to its end; its pieces are dropped.
+    let _ = thread.spawn(move || {
+        let post = (adapter.cancel)(&attempt);
+        for _ in 0..CANCEL_TRIES {
+            let answer = send_post(&open_client(CANCEL_LIMITS), &address, &post);
+            if answer.is_ok_and(|answer| answer.status().as_u16() < 500) {
+                return;
+            }
+        }
+        metrics::counter!("agatestair_cancel_failures_total").increment(1);
+    });
+}
--- /dev/null
+++ b/crates/entry/src/endpoint/service.rs
@@ -0,0 +1,117 @@
+//! Attempts at plain services, each on its own thread.
+
+use std::sync::Arc;
+use std::thread;
+
+use agatestair_policy::AttemptKey;
+use bytes::Bytes;
+use stakker::sync::Channel;
+use ureq::http::{HeaderMap, Request, Response};
+use ureq::{Agent, Body, Error};
+
+use crate::core::message::{AttemptEvent, AttemptFault, CallAnswer, CallRequest, EntryMessage};
+use crate::endpoint::client::{Limits, fault_of, open_client};
+use crate::endpoint::engine::STACK_BYTES;
+
+/// Greatest size of a service's answer in bytes.
+pub const MAX_ANSWER_BYTES: u64 = 8 * 1024 * 1024;
+
+/// Headers of an answer that belong to one connection and are not passed on.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "content-length",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Whether a header of this lower-case name belongs to one connection.
+pub fn is_hop_header(name: &str) -> bool {
+    HOP_HEADERS.contains(&name)
+}
+
+/// One attempt at a plain service.
+pub struct ServiceAttempt {
+    /// Key of the attempt.
+    pub attempt: AttemptKey,
+    /// Name of the endpoint.
+    pub endpoint: Arc<str>,
+    /// Address of the endpoint.
+    pub address: Arc<str>,
+    /// What is sent.
+    pub request: Arc<CallRequest>,
+    /// Bounds.
+    pub limits: Limits,
+    /// Takes the events.
+    pub channel: Channel<EntryMessage>,
+}
+
+impl ServiceAttempt {
+    /// Starts the attempt's thread. A failure to start it is an event like any other.
+    pub fn start(self) {
+        let attempt = self.attempt;
+        let channel = self.channel.clone();
+        let thread = thread::Builder::new().name("service".to_owned()).stack_size(STACK_BYTES);
+        if let Err(error) = thread.spawn(move || self.run()) {
+            let cause = format!("cannot start a thread: {error}");
+            let fault = AttemptFault { may_have_run: false, too_large: false, cause };
+            channel.send(EntryMessage::Attempt { attempt, event: AttemptEvent::Failed(fault) });
+        }
+    }
+
+    fn run(self) {
+        let agent = open_client(self.limits);
+        let event = match self.call(&agent) {
+            Ok(answer) => AttemptEvent::Answer(answer),
+            Err(fault) => AttemptEvent::Failed(fault),
+        };
+        // The actor ends with the process; there is nobody to tell then.
+        self.channel.send(EntryMessage::Attempt { attempt: self.attempt, event });
+    }
+
+    fn call(&self, agent: &Agent) -> Result<CallAnswer, AttemptFault> {
+        let response = self.send(agent).map_err(|error| fault_of(&error))?;
+        let (head, mut body) = response.into_parts();
+        let body = body.with_config().limit(MAX_ANSWER_BYTES).read_to_vec();
+        let body = body.map_err(|error| AttemptFault {
+            may_have_run: true,
+            too_large: matches!(error, Error::BodyExceedsLimit(_)),
+            cause: error.to_string(),
+        })?;
+        Ok(CallAnswer {
+            status: head.status.as_u16(),
+            headers: kept_headers(&head.headers),
+            body: Bytes::from(body),
+            endpoint: self.endpoint.clone(),
+        })
+    }
+
+    fn send(&self, agent: &Agent) -> Result<Response<Body>, Error> {
+        let call = &self.request;
+        let mut request = Request::builder()
+            .method(call.method.as_str())
+            .uri(format!("http://{}{}", self.address, call.path));
+        for (name, value) in &call.headers {
+            request = request.header(name, value);
+        }
+        if call.body.is_empty() {
+            return agent.run(request.body(())?);
+        }
+        agent.run(request.body(&call.body[..])?)
+    }
+}
+
+fn kept_headers(headers: &HeaderMap) -> Vec<(String, String)> {
+    headers
+        .iter()
+        .filter(|(name, _)| !is_hop_header(name.as_str()))
+        .filter_map(|(name, value)| {
+            let value = value.to_str().ok()?;
+            Some((name.as_str().to_owned(), value.to_owned()))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/entry/src/http/body.rs
@@ -0,0 +1,77 @@
+//! Reads callers' bodies within bounds.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::HeaderMap;
+use hyper::body::{Body, Incoming};
+use serde::de::DeserializeOwned;
+
+use crate::refusal::{RefusalKind, Refused};
+
+/// Longest time in which a body must arrive.
+const BODY_LIMIT: Duration = Duration::from_secs(20);
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// A refusal: too large, too slow, or cut off.
+pub async fn read_body(body: Incoming, limit: u64) -> Result<Bytes, Refused> {
+    let too_large =
+        || Refused::not_run(RefusalKind::TooLarge).because(format!("at most {limit} bytes"));
+    if body.size_hint().lower() > limit {
+        return Err(too_large());
+    }
+    let limit_bytes = usize::try_from(limit).unwrap_or(usize::MAX);
+    let reading = Limited::new(body, limit_bytes).collect();
+    match tokio::time::timeout(BODY_LIMIT, reading).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
+        Ok(Err(_)) => {
+            let refused = Refused::not_run(RefusalKind::BadRequest);
+            Err(refused.because("the body is cut off or badly framed"))
+        }
+        Err(_) => Err(Refused::not_run(RefusalKind::SlowRequest)),
+    }
+}
+
+/// Decodes a JSON body.
+///
+/// # Errors
+///
+/// A refusal that names the place and the fault.
+pub fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refused> {
+    serde_json::from_slice(body).map_err(|error| {
+        Refused::not_run(RefusalKind::BadRequest).because(format!("JSON body: {error}"))
+    })
+}
+
+/// Value of a header that may stand once at most.
+///
+/// # Errors
+///
+/// A refusal if it stands more often or is no visible ASCII text of at most `limit` bytes.
+pub fn single_header(
+    headers: &HeaderMap,
+    name: &'static str,
+    limit: usize,
+) -> Result<Option<String>, Refused> {
+    let bad = |problem: &str| {
+        Refused::not_run(RefusalKind::BadRequest).because(format!("header {name}: {problem}"))
+    };
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(bad("stands more than once"));
+    }
+    let text = value.to_str().map_err(|_| bad("is no ASCII text"))?;
+    let visible = text.bytes().all(|byte| byte.is_ascii_graphic());
+    if text.is_empty() || text.len() > limit || !visible {
+        return Err(bad(&format!("must be 1 to {limit} visible ASCII characters")));
+    }
+    Ok(Some(text.to_owned()))
+}
--- /dev/null
+++ b/crates/entry/src/http/calls.rs
@@ -0,0 +1,189 @@
+//! Handles calls of plain services.
+
+use std::sync::Arc;
+
+use agatestair_schema::caller::RunState;
+use agatestair_schema::slo::SloKind;
+use hyper::body::Incoming;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{HeaderMap, Method, Request};
+use tokio::sync::oneshot;
+
+use crate::core::message::{CallAnswer, CallJob, CallRequest, Caller, EntryMessage};
+use crate::endpoint::service::is_hop_header;
+use crate::http::answer::{Answer, REQUEST_HEADER, answer};
+use crate::http::body::{read_body, single_header};
+use crate::http::front::{Front, OpenPermit};
+use crate::http::keyed::{KeyedCall, run_keyed};
+use crate::http::server::spawn_apart;
+use crate::refusal::{RefusalKind, Refused};
+use crate::view::{ListsView, unread_state};
+
+/// Header that makes a non-idempotent call repeatable.
+pub const KEY_HEADER: &str = "idempotency-key";
+/// Longest idempotency key in characters.
+const MAX_KEY: usize = 200;
+/// Start of the paths that endpoints keep for the entries.
+const OWN_PATHS: &str = "/agatestair/";
+/// Headers of callers that are not passed on, beside those of one connection.
+const KEPT_BACK: [&str; 5] = ["authorization", "host", "expect", REQUEST_HEADER, KEY_HEADER];
+
+/// Whether a call is not idempotent but made repeatable by a key.
+pub fn is_keyed(method: &Method, headers: &HeaderMap) -> bool {
+    !is_idempotent(method) && headers.contains_key(KEY_HEADER)
+}
+
+/// A refusal before the record of the key was read: an earlier call with the key may have run.
+pub fn unread(mut refused: Refused, keyed: bool) -> Refused {
+    if refused.ran == RunState::NotRun {
+        refused.ran = unread_state(keyed);
+    }
+    refused
+}
+
+fn is_idempotent(method: &Method) -> bool {
+    matches!(*method, Method::GET | Method::HEAD | Method::PUT | Method::DELETE | Method::OPTIONS)
+}
+
+/// Handles a call of `service`.
+///
+/// # Errors
+///
+/// A refusal.
+pub async fn call(
+    front: &Arc<Front>,
+    request: Request<Incoming>,
+    service: Arc<str>,
+    lists: &Arc<ListsView>,
+    caller: Caller,
+) -> Result<Answer, Refused> {
+    let keyed = is_keyed(request.method(), request.headers());
+    let prepared = prepare(front, request, &service, lists, &caller).await;
+    let (call, key) = prepared.map_err(|refused| unread(refused, keyed))?;
+    let permit = front.take_place().map_err(|refused| {
+        front.count_refused(&caller, &service, SloKind::Call);
+        unread(refused, keyed)
+    })?;
+    let idempotent = call.method.parse().is_ok_and(|method| is_idempotent(&method));
+    let call = Arc::new(call);
+    let answer = match key.filter(|_| !idempotent) {
+        Some(key) => {
+            let keyed = KeyedCall { caller, service, key, call, lists: lists.clone() };
+            run_apart(front, keyed, permit).await?
+        }
+        None => {
+            let notice = front.notice(caller.number);
+            let answer = submit(front, caller, service, call, idempotent).await;
+            drop(notice);
+            drop(permit);
+            answer?
+        }
+    };
+    Ok(answer_call(answer))
+}
+
+/// Checks a call and reads its body.
+async fn prepare(
+    front: &Front,
+    request: Request<Incoming>,
+    service: &Arc<str>,
+    lists: &ListsView,
+    caller: &Caller,
+) -> Result<(CallRequest, Option<String>), Refused> {
+    let (head, body) = request.into_parts();
+    let known = [Method::POST, Method::PATCH];
+    if !is_idempotent(&head.method) && !known.contains(&head.method) {
+        let refused = Refused::not_run(RefusalKind::WrongMethod);
+        return Err(refused.because("use GET, HEAD, PUT, DELETE, OPTIONS, POST or PATCH"));
+    }
+    let allowance = lists.allowance(&caller.customer.plan);
+    if !allowance.is_some_and(|a| a.services.iter().any(|name| **name == **service)) {
+        let refused = Refused::not_run(RefusalKind::NotAllowed);
+        return Err(refused.because(format!("service `{service}`")));
+    }
+    let view = front.view();
+    if !view.fleet.is_some_and(|fleet| fleet.services.contains_key(service)) {
+        return Err(Refused::not_run(RefusalKind::NoEndpoint));
+    }
+    let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+    let prefix = "/v1/services/".len() + service.len();
+    let path = match &target[prefix..] {
+        "" => "/".to_owned(),
+        rest if rest.starts_with('/') => rest.to_owned(),
+        rest => format!("/{rest}"),
+    };
+    if path.starts_with(OWN_PATHS) {
+        return Err(Refused::not_run(RefusalKind::NotFound).because("no such path"));
+    }
+    let key = single_header(&head.headers, KEY_HEADER, MAX_KEY)?;
+    let body = read_body(body, front.settings.max_body).await?;
+    if !body.is_empty() && matches!(head.method, Method::GET | Method::HEAD | Method::DELETE) {
+        let refused = Refused::not_run(RefusalKind::BadRequest);
+        return Err(refused.because(format!("{} takes no body", head.method)));
+    }
+    let mut headers = passed_headers(&head.headers);
+    headers.push((REQUEST_HEADER.to_owned(), caller.id.to_string()));
+    headers.extend(key.iter().map(|key| (KEY_HEADER.to_owned(), key.clone())));
+    Ok((CallRequest { method: head.method.to_string(), path, headers, body }, key))
+}
+
+/// Runs a keyed call to its end, also when the caller leaves.
+async fn run_apart(
+    front: &Arc<Front>,
+    keyed: KeyedCall,
+    permit: OpenPermit,
+) -> Result<CallAnswer, Refused> {
+    let (reply, answer) = oneshot::channel();
+    let apart = front.clone();
+    spawn_apart(front, async move {
+        run_keyed(&apart, keyed, reply).await;
+        drop(permit);
+    });
+    let lost = || Refused::with_state(RefusalKind::OutcomeUnknown, RunState::Unknown);
+    answer.await.unwrap_or_else(|_| Err(lost()))
+}
+
+/// Has a call admitted and waits for its answer.
+///
+/// # Errors
+///
+/// A refusal.
+pub async fn submit(
+    front: &Front,
+    caller: Caller,
+    service: Arc<str>,
+    request: Arc<CallRequest>,
+    idempotent: bool,
+) -> Result<CallAnswer, Refused> {
+    let (reply, answer) = oneshot::channel();
+    let job = CallJob { caller, service, request, idempotent, reply };
+    front.channel.send(EntryMessage::Call(Box::new(job)));
+    let lost = || Refused::with_state(RefusalKind::OutcomeUnknown, RunState::Unknown);
+    answer.await.unwrap_or_else(|_| Err(lost()))
+}
+
+fn passed_headers(headers: &HeaderMap) -> Vec<(String, String)> {
+    headers
+        .iter()
+        .filter(|(name, _)| !is_hop_header(name.as_str()) && !KEPT_BACK.contains(&name.as_str()))
+        .filter_map(|(name, value)| {
+            let value = value.to_str().ok()?;
+            Some((name.as_str().to_owned(), value.to_owned()))
+        })
+        .collect()
+}
+
+fn answer_call(call: CallAnswer) -> Answer {
+    let mut answer = answer(call.status, "application/octet-stream", call.body);
+    answer.headers_mut().remove(hyper::header::CONTENT_TYPE);
+    for (name, value) in &call.headers {
+        if name == REQUEST_HEADER {
+            continue;
+        }
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+            answer.headers_mut().append(name, value);
+        }
+    }
+    answer
+}
--- /dev/null
+++ b/crates/entry/src/http/entries.rs
@@ -0,0 +1,60 @@
+//! Tells callers which entries to use.
+
+use std::sync::Arc;
+
+use agatestair_schema::caller::{EntryAddress, EntryAnswer};
+use rand::seq::SliceRandom;
+
+use crate::http::answer::{Answer, answer_json};
+use crate::http::front::Front;
+use crate::refusal::{RefusalKind, Refused};
+
+/// Answers with the entries to use: those of the caller's domain and region first, else in random
+/// order, so that callers do not all use the same one.
+///
+/// # Errors
+///
+/// A refusal if no entry is known.
+pub fn answer_entries(front: &Arc<Front>, query: &str) -> Result<Answer, Refused> {
+    let view = front.view();
+    let own = &front.settings.instance;
+    let mut entries: Vec<EntryAddress> = view
+        .directory
+        .iter()
+        .filter(|record| record.name != own.name)
+        .map(|record| EntryAddress {
+            name: record.name.clone(),
+            address: record.address.clone(),
+            domain: record.domain.clone(),
+            region: record.region.clone(),
+        })
+        .collect();
+    if view.ready() {
+        entries.push(EntryAddress {
+            name: own.name.clone(),
+            address: front.settings.listen.clone(),
+            domain: own.domain.clone(),
+            region: own.region.clone(),
+        });
+    }
+    if entries.is_empty() {
+        let kind = if view.leaving { RefusalKind::Leaving } else { RefusalKind::NotReady };
+        return Err(Refused::not_run(kind));
+    }
+    entries.shuffle(&mut rand::rng());
+    let domain = parameter(query, "domain");
+    let region = parameter(query, "region");
+    entries.sort_by_key(|entry| {
+        let far = domain.is_some_and(|domain| domain != entry.domain);
+        let abroad = region.is_some_and(|region| region != entry.region);
+        (abroad, far)
+    });
+    let lifetime_ms = front.settings.answer_ms;
+    Ok(answer_json(200, &EntryAnswer { entries, lifetime_ms }))
+}
+
+/// Value of a parameter of the query.
+fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
--- /dev/null
+++ b/crates/entry/src/http/events.rs
@@ -0,0 +1,113 @@
+//! Streamed answers.
+
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::Frame;
+use tokio::sync::mpsc;
+
+use crate::core::message::{CompletionEvent, Part};
+use crate::http::answer::CutError;
+use crate::http::front::{OpenPermit, PartingNotice};
+use crate::http::shapes::Shape;
+use crate::refusal::Refused;
+
+/// Mark that ends a whole answer.
+const DONE: &[u8] = b"data: [DONE]\n\n";
+/// Parts that are sent as one chunk when they are at hand together.
+const MAX_JOINED: usize = 64;
+
+/// How far a streamed answer is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stage {
+    /// Parts are still to come.
+    Open,
+    /// The whole answer was sent with its mark.
+    Whole,
+    /// The answer was cut.
+    Cut,
+}
+
+/// Body of a streamed answer. A cut answer ends in an error event and without the chunked end mark.
+pub struct EventBody {
+    first: Option<CompletionEvent>,
+    parts: mpsc::Receiver<CompletionEvent>,
+    shape: Shape,
+    begun: bool,
+    tokens: u32,
+    stage: Stage,
+    _notice: PartingNotice,
+    _permit: OpenPermit,
+}
+
+impl EventBody {
+    /// Streams `first` and then what comes from `parts`.
+    pub fn new(
+        first: CompletionEvent,
+        parts: mpsc::Receiver<CompletionEvent>,
+        shape: Shape,
+        notice: PartingNotice,
+        permit: OpenPermit,
+    ) -> Self {
+        Self {
+            first: Some(first),
+            parts,
+            shape,
+            begun: false,
+            tokens: 0,
+            stage: Stage::Open,
+            _notice: notice,
+            _permit: permit,
+        }
+    }
+
+    /// Next chunk: all parts at hand.
+    pub fn poll_chunk(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CutError>>> {
+        let mut chunk = Vec::new();
+        for _ in 0..MAX_JOINED {
+            if self.stage != Stage::Open {
+                break;
+            }
+            let event = match self.first.take() {
+                Some(event) => Some(event),
+                None => match self.parts.poll_recv(context) {
+                    Poll::Ready(event) => event,
+                    Poll::Pending if chunk.is_empty() => return Poll::Pending,
+                    Poll::Pending => break,
+                },
+            };
+            match event {
+                Some(CompletionEvent::Part(part)) => self.write_part(&mut chunk, &part),
+                Some(CompletionEvent::Refused(refused)) => self.write_cut(&mut chunk, &refused),
+                None => self.stage = Stage::Cut,
+            }
+        }
+        if !chunk.is_empty() {
+            return Poll::Ready(Some(Ok(Frame::data(Bytes::from(chunk)))));
+        }
+        Poll::Ready((self.stage == Stage::Cut).then_some(Err(CutError)))
+    }
+
+    fn write_part(&mut self, chunk: &mut Vec<u8>, part: &Part) {
+        self.tokens += part.tokens;
+        let finish = part.finish.as_deref();
+        chunk.extend(self.shape.event(&part.text, !self.begun, finish, self.tokens));
+        self.begun = true;
+        if finish.is_some() {
+            chunk.extend_from_slice(DONE);
+            self.stage = Stage::Whole;
+        }
+    }
+
+    fn write_cut(&mut self, chunk: &mut Vec<u8>, refused: &Refused) {
+        let body = refused.body(&self.shape.id);
+        let body = serde_json::to_vec(&body).expect("wire types have text keys");
+        chunk.extend_from_slice(b"event: error\ndata: ");
+        chunk.extend(body);
+        chunk.extend_from_slice(b"\n\n");
+        self.stage = Stage::Cut;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,214 @@
+//! Starts the entry and runs it to its end.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+use agatestair_link::{LinkNode, NodeSettings, PeerRole};
+use agatestair_platform::Platform;
+use agatestair_runtime::{EventLoop, MetricsHandle, bind, cancel_on_signal, log_event};
+use agatestair_schema::settings::{EntrySettings, LinkSettings};
+use error_stack::{Report, ResultExt};
+use slog::Logger;
+use stakker::sync::Channel;
+use stakker::{ActorOwn, actor, ret_shutdown};
+use tokio::sync::{Semaphore, watch};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::claims::Claims;
+use crate::core::actor::{ActorParts, EntryActor};
+use crate::core::message::EntryMessage;
+use crate::events::{PROTECTION_OFF, STARTED};
+use crate::http::front::Front;
+use crate::http::server::start_server;
+use crate::protections::{Protections, unknown_names};
+use crate::snapshots::SnapshotWriter;
+use crate::view::View;
+
+/// Why the entry could not start.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StartError {
+    /// A setting is no address.
+    Address {
+        /// Name of the setting.
+        name: &'static str,
+        /// Its value.
+        value: String,
+    },
+    /// The setting `disabled` has an unknown name.
+    Protection(String),
+    /// The callers' address cannot be listened on.
+    Listen(String),
+    /// A thread or a signal handler could not be set up.
+    Resources,
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Address { name, value } => {
+                write!(f, "setting `{name}`: `{value}` is no address; give it as `IP:port`")
+            }
+            Self::Protection(name) => {
+                write!(f, "setting `disabled`: unknown name `{name}`; see docs/CALLERS.md")
+            }
+            Self::Listen(address) => write!(
+                f,
+                "cannot listen on {address}; check that the address is of this machine and free"
+            ),
+            Self::Resources => {
+                f.write_str("cannot start a thread; raise the limits of processes and files")
+            }
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// Runs the entry until it has shut down.
+///
+/// # Errors
+///
+/// [`StartError`] if it could not start.
+pub fn run(
+    settings: EntrySettings,
+    metrics: MetricsHandle,
+    log: &Logger,
+) -> Result<(), Report<StartError>> {
+    let settings = Arc::new(settings);
+    let boot: Arc<str> = format!("{:08x}", rand::random::<u32>()).into();
+    let listen = parse_address("listen", &settings.listen)?;
+    let control = parse_address("control", &settings.control)?;
+    let protections = check_protections(&settings, log)?;
+    let listener = bind(listen).change_context(StartError::Listen(settings.listen.clone()))?;
+    let platform = Platform::new(&settings.platform);
+    let claims = Claims::start(&platform, log.clone()).change_context(StartError::Resources)?;
+    let (snapshots, writer) =
+        SnapshotWriter::start(platform, &settings.instance, &boot, log.clone())
+            .change_context(StartError::Resources)?;
+    let (leave, closing, done) =
+        (CancellationToken::new(), CancellationToken::new(), CancellationToken::new());
+    cancel_on_signal(&leave).change_context(StartError::Resources)?;
+    let (view, published) = watch::channel(View::default());
+    let mut event_loop = EventLoop::new();
+    let links = LinkChannel::default();
+    let node = start_links(&settings, &boot, links.clone(), done.clone(), log)?;
+    let parts = ActorParts {
+        settings: settings.clone(),
+        boot: boot.clone(),
+        protections,
+        node: node.clone(),
+        view,
+        closing: closing.clone(),
+        done: done.clone(),
+        snapshots: Some(snapshots),
+        log: log.clone(),
+    };
+    let (_actor, channel) = start_actor(&mut event_loop, parts);
+    links.open(channel.clone());
+    node.dial(control);
+    watch_leave(leave, channel.clone()).change_context(StartError::Resources)?;
+    let front = Arc::new(Front {
+        places: Arc::new(Semaphore::new(settings.max_open as usize)),
+        settings: settings.clone(),
+        boot,
+        channel,
+        view: published,
+        claims,
+        tracker: TaskTracker::new(),
+        metrics,
+        log: log.clone(),
+        count: AtomicU64::new(1),
+    });
+    start_server(listener, front, closing).change_context(StartError::Resources)?;
+    log_event!(log, STARTED, "listen" => &settings.listen);
+    event_loop.run(&done);
+    // The thread has panicked if this fails, and the panic was printed.
+    let _ = writer.join();
+    Ok(())
+}
+
+fn parse_address(name: &'static str, value: &str) -> Result<SocketAddr, Report<StartError>> {
+    let fault = || StartError::Address { name, value: value.to_owned() };
+    value.parse().change_context_lazy(fault)
+}
+
+fn check_protections(
+    settings: &EntrySettings,
+    log: &Logger,
+) -> Result<Protections, Report<StartError>> {
+    if let Some(name) = unknown_names(settings).first() {
+        return Err(Report::new(StartError::Protection((*name).to_owned())));
+    }
+    if !settings.disabled.is_empty() {
+        log_event!(log, PROTECTION_OFF, "names" => settings.disabled.join(", "));
+    }
+    Ok(Protections::from(settings))
+}
+
+fn start_actor(
+    event_loop: &mut EventLoop,
+    parts: ActorParts,
+) -> (ActorOwn<EntryActor>, Channel<EntryMessage>) {
+    let (sender, receiver) = std::sync::mpsc::channel();
+    let ready = Box::new(move |channel| {
+        sender.send(channel).expect("the receiver lives until the actor has started");
+    });
+    let stakker = &mut event_loop.stakker;
+    let actor = actor!(stakker, EntryActor::init(parts, ready), ret_shutdown!(stakker));
+    stakker.run(std::time::Instant::now(), false);
+    (actor, receiver.recv().expect("the actor has started"))
+}
+
+/// Channel into the actor, which starts after the links.
+#[derive(Clone, Default)]
+struct LinkChannel {
+    channel: Arc<std::sync::OnceLock<Channel<EntryMessage>>>,
+}
+
+impl LinkChannel {
+    fn open(&self, channel: Channel<EntryMessage>) {
+        // It is opened once.
+        let _ = self.channel.set(channel);
+    }
+}
+
+fn start_links(
+    settings: &EntrySettings,
+    boot: &Arc<str>,
+    links: LinkChannel,
+    token: CancellationToken,
+    log: &Logger,
+) -> Result<LinkNode, Report<StartError>> {
+    let node = NodeSettings {
+        instance: settings.instance.name.as_str().into(),
+        domain: settings.instance.domain.as_str().into(),
+        boot: boot.clone(),
+        role: PeerRole::Entry,
+        listen: None,
+        link: settings.link.clone().unwrap_or_else(default_link),
+        log: log.clone(),
+    };
+    let sink = move |event| {
+        if let Some(channel) = links.channel.get() {
+            channel.send(EntryMessage::Link(event));
+        }
+    };
+    LinkNode::start(node, token, sink).change_context(StartError::Resources)
+}
+
+fn default_link() -> LinkSettings {
+    serde_json::from_str("{}").expect("all settings of links have defaults")
+}
+
+/// Tells the actor to leave when `leave` is cancelled.
+fn watch_leave(leave: CancellationToken, channel: Channel<EntryMessage>) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().build()?;
+    std::thread::Builder::new().name("leave".to_owned()).spawn(move || {
+        runtime.block_on(leave.cancelled());
+        channel.send(EntryMessage::Leave);
+    })?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/view.rs
@@ -0,0 +1,141 @@
+//! What the threads that serve callers know of the deployment.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatestair_schema::caller::RunState;
+use agatestair_schema::link::{EndpointKind, EntryRecord, FleetView};
+use agatestair_schema::lists::{Allowance, Lists, Plan, ServiceRule, StoreRule};
+
+use crate::customers::Customers;
+use crate::refusal::{RefusalKind, Refused};
+
+/// Longest time of a call of a service without a rule.
+const CALL_DEADLINE: Duration = Duration::from_secs(10);
+/// Target time of a call of a service without a rule.
+const CALL_TARGET: Duration = Duration::from_millis(500);
+
+/// One revision of the lists, indexed.
+pub struct ListsView {
+    /// The lists.
+    pub lists: Arc<Lists>,
+    /// Customers by key.
+    pub customers: Customers,
+}
+
+impl ListsView {
+    /// Plan by name.
+    pub fn plan(&self, name: &str) -> Option<&Plan> {
+        self.lists.plans.plans.iter().find(|plan| plan.name == name)
+    }
+
+    /// Allowance of a plan.
+    pub fn allowance(&self, plan: &str) -> Option<&Allowance> {
+        self.lists.allowances.allowances.iter().find(|allowance| allowance.plan == plan)
+    }
+
+    /// Rule of a service.
+    pub fn rule(&self, service: &str) -> Option<&ServiceRule> {
+        self.lists.allowances.services.iter().find(|rule| rule.service == service)
+    }
+
+    /// Longest time of a call of a service.
+    pub fn call_deadline(&self, service: &str) -> Duration {
+        self.rule(service).map_or(CALL_DEADLINE, |rule| Duration::from_millis(rule.deadline_ms))
+    }
+
+    /// Target time of a call of a service.
+    pub fn call_target(&self, service: &str) -> Duration {
+        self.rule(service).map_or(CALL_TARGET, |rule| Duration::from_millis(rule.target_ms))
+    }
+
+    /// What happens to keyed calls of a service while the store is down.
+    pub fn store_rule(&self, service: &str) -> StoreRule {
+        self.rule(service).map_or(StoreRule::Refuse, |rule| rule.store_down)
+    }
+}
+
+/// Services and models of the fleet.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FleetIndex {
+    /// Services that have engines with a model, by the model.
+    pub models: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
+    /// Addresses of the endpoints of each plain service.
+    pub services: BTreeMap<Arc<str>, Vec<Arc<str>>>,
+}
+
+impl From<&FleetView> for FleetIndex {
+    fn from(fleet: &FleetView) -> Self {
+        let mut index = Self::default();
+        for endpoint in &fleet.endpoints {
+            let service: Arc<str> = endpoint.service.as_str().into();
+            match endpoint.kind {
+                EndpointKind::Engine => {
+                    for model in &endpoint.models {
+                        let services = index.models.entry(model.as_str().into()).or_default();
+                        services.insert(service.clone());
+                    }
+                }
+                EndpointKind::Service => {
+                    let addresses = index.services.entry(service).or_default();
+                    addresses.push(endpoint.address.as_str().into());
+                }
+            }
+        }
+        index
+    }
+}
+
+/// State that the entry's actor publishes to the threads that serve callers.
+#[derive(Clone, Default)]
+pub struct View {
+    /// Lists in force.
+    pub lists: Option<Arc<ListsView>>,
+    /// Services and models, once the fleet is known.
+    pub fleet: Option<Arc<FleetIndex>>,
+    /// Entries callers may be told of.
+    pub directory: Arc<[EntryRecord]>,
+    /// Whether the lists are known to be current.
+    pub fresh: bool,
+    /// Whether the entry is shutting down and out of the answers.
+    pub leaving: bool,
+    /// Whether the entry has stopped taking requests.
+    pub closed: bool,
+}
+
+impl View {
+    /// The lists, if the entry may take work now.
+    ///
+    /// # Errors
+    ///
+    /// The refusal; nothing was sent for the request.
+    pub fn admit(&self) -> Result<&Arc<ListsView>, Refused> {
+        if self.closed {
+            return Err(Refused::not_run(RefusalKind::Leaving));
+        }
+        match (&self.lists, &self.fleet) {
+            (Some(lists), Some(_)) if self.fresh => Ok(lists),
+            (Some(_), Some(_)) => Err(Refused::not_run(RefusalKind::Stale)),
+            _ => Err(Refused::not_run(RefusalKind::NotReady)),
+        }
+    }
+
+    /// Whether callers may be sent here.
+    pub fn ready(&self) -> bool {
+        !self.leaving && self.admit().is_ok()
+    }
+
+    /// Service that answers for `model` to a plan that may use `allowed` services.
+    pub fn service_of(&self, model: &str, allowed: &[String]) -> Option<Arc<str>> {
+        let services = self.fleet.as_ref()?.models.get(model)?;
+        let usable =
+            services.iter().find(|service| allowed.iter().any(|name| **name == ***service));
+        usable.or_else(|| services.first()).cloned()
+    }
+}
+
+/// State of a keyed call whose record was not read: an earlier call may have run.
+pub fn unread_state(keyed: bool) -> RunState {
+    if keyed { RunState::Unknown } else { RunState::NotRun }
+}
--- a/crates/runtime/src/http.rs
+++ b/crates/runtime/src/http.rs
@@ -2,11 +2,12 @@
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::os::fd::AsFd;
 use std::time::Duration;
 
 use chunked_transfer::Encoder;
 use serde::Serialize;
-use socket2::{Domain, Protocol, Socket, TcpKeepalive, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 use tiny_http::{Header, Request, Response, Server};
 
 /// Connections waiting to be accepted.
@@ -20,25 +21,44 @@
 /// Time that sent data may stay unacknowledged before the connection ends.
 const USER_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Listens on `address`; accepted connections that go silent are ended by the kernel.
+/// Listens on `address` with `tiny_http`; accepted connections that go silent are ended by the
+/// kernel.
 ///
 /// # Errors
 ///
 /// The operating system's error if the address is in use or not of this machine.
 pub fn listen(address: SocketAddr) -> io::Result<Server> {
+    Server::from_listener(bind(address)?, None).map_err(io::Error::other)
+}
+
+/// Binds a listener to `address`; accepted connections inherit [`configure_stream`]'s options.
+///
+/// # Errors
+///
+/// The operating system's error if the address is in use or not of this machine.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
+    configure_stream(&socket)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+/// Has the kernel end a connection whose other end has gone silent, and send without delay.
+///
+/// # Errors
+///
+/// The operating system's error.
+pub fn configure_stream<S: AsFd>(stream: &S) -> io::Result<()> {
+    let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_RETRIES);
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-    socket.set_tcp_nodelay(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    let listener: TcpListener = socket.into();
-    Server::from_listener(listener, None).map_err(io::Error::other)
+    socket.set_tcp_nodelay(true)
 }
 
 /// Reads the body of a request, up to `limit` bytes.
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use event::Event;
 pub use event_loop::EventLoop;
-pub use http::{StreamWriter, listen, read_body, respond, respond_json};
+pub use http::{StreamWriter, bind, configure_stream, listen, read_body, respond, respond_json};
 pub use log::open_log;
 pub use metrics::{MetricsHandle, install_metrics};
 pub use shutdown::cancel_on_signal;
--- a/crates/schema/src/answer.rs
+++ b/crates/schema/src/answer.rs
@@ -1,5 +1,7 @@
 //! Token counts and block hashes of prompts, and the reference answer of the stand-in engines.
 
+use crate::caller::ChatMessage;
+
 /// Bytes of prompt text taken as one token.
 pub const BYTES_PER_TOKEN: usize = 4;
 
@@ -12,6 +14,19 @@
     u32::try_from(count).unwrap_or(u32::MAX)
 }
 
+/// Prompt that a chat is turned into: a line `role: content` a message, then `assistant:`.
+pub fn chat_prompt(messages: &[ChatMessage]) -> String {
+    let mut prompt = String::new();
+    for message in messages {
+        prompt.push_str(&message.role);
+        prompt.push_str(": ");
+        prompt.push_str(&message.content);
+        prompt.push('\n');
+    }
+    prompt.push_str("assistant:");
+    prompt
+}
+
 /// Hashes each whole block of the prompt together with all that precedes it.
 ///
 /// `block_tokens` is the engine's block size in tokens. A last block that is not full is left out.
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -8,7 +8,7 @@
 mod answer;
 mod samples;
 
-pub use answer::{answer_text, answer_token, count_tokens, prefix_blocks};
+pub use answer::{answer_text, answer_token, chat_prompt, count_tokens, prefix_blocks};
 pub use samples::push_sample;
 
 /// Declares a module of generated types.
