--- /dev/null
+++ b/crates/policy/src/admission/returns.rs
@@ -0,0 +1,38 @@
+//! Times at which refused callers should come back.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::moment::Moment;
+
+/// Latest time to come back.
+const MAX_RETURN: Duration = Duration::from_secs(30);
+
+/// Spreads refused callers over the time in which their work can be taken.
+///
+/// Each refusal reserves the time that its work needs after the reservations before it, so that
+/// callers come back at the rate at which the pool takes work, however many were refused at once.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ReturnPlanner {
+    reserved: Moment,
+}
+
+impl ReturnPlanner {
+    /// Time after which a caller should come back whose work takes `secs` of the pool's time.
+    pub(crate) fn next<R: Rng>(
+        &mut self,
+        now: Moment,
+        least: Duration,
+        secs: f64,
+        random: &mut R,
+    ) -> Duration {
+        let earliest = now + least;
+        let latest = now + MAX_RETURN;
+        let start = self.reserved.max(earliest).min(latest);
+        self.reserved = start + Duration::from_secs_f64(secs.clamp(0.0, 1.0));
+        let wait = start.since(now).as_secs_f64();
+        let spread = random.random_range(1.0..1.25);
+        Duration::from_secs_f64((wait * spread).min(MAX_RETURN.as_secs_f64()))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/fleet.rs
@@ -0,0 +1,13 @@
+//! Endpoints, what is known of their load and pace, and the pools that they make up.
+
+mod endpoint;
+mod health;
+mod key_set;
+mod pool;
+mod sent;
+
+pub(crate) use endpoint::Endpoint;
+pub(crate) use health::{Health, Phase};
+pub(crate) use key_set::KeySet;
+pub(crate) use pool::{Pool, PoolKey, Route};
+pub(crate) use sent::SentHistory;
--- /dev/null
+++ b/crates/policy/src/fleet/pool.rs
@@ -0,0 +1,88 @@
+//! Endpoints that serve one model of one service.
+
+use std::collections::VecDeque;
+
+use agatestair_schema::link::EndpointKind;
+
+use crate::admission::DrainMeter;
+use crate::fleet::KeySet;
+use crate::keys::{EndpointKey, RequestKey};
+use crate::queue::PoolQueue;
+use crate::size::CLASSES;
+use crate::straggler::Lane;
+
+slotmap::new_key_type! {
+    /// Key of one pool.
+    pub(crate) struct PoolKey;
+}
+
+/// Way that requests of a pool take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Route {
+    /// One engine processes the prompt and generates the answer.
+    Whole,
+    /// A prefill engine processes the prompt, another engine generates the answer.
+    Split,
+}
+
+/// Endpoints that serve one model of one service, and the requests for it.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    pub(crate) kind: EndpointKind,
+    pub(crate) members: Vec<EndpointKey>,
+    /// Endpoints with room for whole requests.
+    pub(crate) whole: KeySet,
+    /// Prefill engines with room.
+    pub(crate) prefill: KeySet,
+    /// Endpoints that serve whole requests, with room or not.
+    pub(crate) whole_count: u32,
+    /// Prefill engines that serve, with room or not.
+    pub(crate) prefill_count: u32,
+    /// Requests that wait for any endpoint.
+    pub(crate) queue: PoolQueue,
+    /// Requests that wait for a prefill engine.
+    pub(crate) split: PoolQueue,
+    /// Requests whose prompt was processed elsewhere.
+    pub(crate) handoff: VecDeque<RequestKey>,
+    /// Running requests by size class.
+    pub(crate) lanes: [Lane; CLASSES],
+    pub(crate) drain: DrainMeter,
+    /// Usual seconds per output token.
+    pub(crate) gap: f64,
+    /// Usual ratio of the real to the expected time to the first token, or of a call.
+    pub(crate) delay: f64,
+}
+
+impl Pool {
+    /// Creates a pool without endpoints.
+    pub(crate) fn new(kind: EndpointKind, gap: f64) -> Self {
+        Self {
+            kind,
+            members: Vec::new(),
+            whole: KeySet::default(),
+            prefill: KeySet::default(),
+            whole_count: 0,
+            prefill_count: 0,
+            queue: PoolQueue::default(),
+            split: PoolQueue::default(),
+            handoff: VecDeque::new(),
+            lanes: Default::default(),
+            drain: DrainMeter::default(),
+            gap,
+            delay: 1.0,
+        }
+    }
+
+    /// The queue of a route.
+    pub(crate) fn queue(&mut self, route: Route) -> &mut PoolQueue {
+        match route {
+            Route::Whole => &mut self.queue,
+            Route::Split => &mut self.split,
+        }
+    }
+
+    /// Endpoints that serve, with room or not.
+    pub(crate) fn serving(&self) -> u32 {
+        self.whole_count + self.prefill_count
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,18 +5,33 @@
 //! [`Action`]s that it returns.
 
 mod action;
+mod admission;
 pub mod assign;
+mod budget;
+mod cache_map;
+mod demand;
+mod fleet;
 mod keys;
 mod moment;
+mod plans;
+mod queue;
 mod request;
 mod roles;
 mod scheduler;
+mod settings;
 mod shares;
+mod size;
+mod straggler;
 
 pub use action::{Action, AttemptEnd, Purpose, Refusal, RefusalCode};
+pub use budget::Budget;
 pub use keys::{AttemptKey, EndpointKey, RequestKey};
 pub use moment::Moment;
 pub use request::{Call, Completion, RequestFacts, Work};
 pub use roles::{RoleChange, RolePlanner, RoleSettings};
-pub use scheduler::{Scheduler, SchedulerSettings};
+pub use scheduler::Scheduler;
+pub use settings::{
+    BudgetSettings, EjectSettings, EngineModel, HedgeRule, HedgeSettings, QueueSettings,
+    SchedulerSettings,
+};
 pub use shares::{ShareAllocator, ShareSettings};
--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,9 @@
+//! Waiting requests: order between plans, sizes and customers.
+
+mod class_queue;
+mod plan_queue;
+mod pool_queue;
+
+pub(crate) use class_queue::ClassQueue;
+pub(crate) use plan_queue::{PlanQueue, Ticket};
+pub(crate) use pool_queue::PoolQueue;
--- /dev/null
+++ b/crates/policy/src/queue/pool_queue.rs
@@ -0,0 +1,40 @@
+//! Waiting requests of one pool, by plan.
+
+use crate::queue::PlanQueue;
+
+/// Requests waiting for one pool, in one queue a plan.
+#[derive(Debug, Default)]
+pub(crate) struct PoolQueue {
+    plans: Vec<PlanQueue>,
+    count: u32,
+}
+
+impl PoolQueue {
+    /// The queue of a plan.
+    pub(crate) fn plan(&mut self, plan: usize) -> &mut PlanQueue {
+        if self.plans.len() <= plan {
+            self.plans.resize_with(plan + 1, PlanQueue::default);
+        }
+        &mut self.plans[plan]
+    }
+
+    /// The queue of a plan, if one was ever used.
+    pub(crate) fn peek(&self, plan: usize) -> Option<&PlanQueue> {
+        self.plans.get(plan)
+    }
+
+    /// Requests waiting in all.
+    pub(crate) fn count(&self) -> u32 {
+        self.count
+    }
+
+    /// Counts one more request as waiting.
+    pub(crate) fn entered(&mut self) {
+        self.count += 1;
+    }
+
+    /// Counts one request less as waiting.
+    pub(crate) fn left(&mut self) {
+        self.count = self.count.saturating_sub(1);
+    }
+}
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -1,278 +1,261 @@
 //! The decisions of one entry.
 
-use std::collections::BTreeMap;
+mod admit;
+mod baseline;
+mod dispatch;
+mod fleet_update;
+mod hedge;
+mod observe;
+mod outcome;
+mod place;
+mod state;
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
-use agatestair_schema::link::{
-    CacheBatch, EndpointKind, EndpointState, EndpointView, FleetView, Observation, PlanDemand,
-    ShareGrant,
-};
+use agatestair_schema::link::{CacheBatch, FleetView, Observation, PlanDemand, ShareGrant};
 use agatestair_schema::lists::Lists;
 use agatestair_schema::settings::PolicyName;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use slotmap::SlotMap;
 
-use crate::action::{Action, AttemptEnd, Purpose, Refusal, RefusalCode};
+use crate::action::{Action, AttemptEnd, Refusal};
+use crate::admission::ReturnPlanner;
+use crate::budget::Budget;
+use crate::cache_map::CacheMap;
+use crate::fleet::{Endpoint, Pool, PoolKey};
 use crate::keys::{AttemptKey, EndpointKey, RequestKey};
 use crate::moment::Moment;
-use crate::request::{RequestFacts, Work};
-
-/// Settings of a [`Scheduler`].
-#[derive(Clone, Debug)]
-pub struct SchedulerSettings {
-    /// Placement policy.
-    pub policy: PolicyName,
-    /// Seed of random choices.
-    pub seed: u64,
-    /// Attempts of one request in all.
-    pub max_attempts: u32,
-    /// When callers should come back after a refusal for load.
-    pub retry_after: Duration,
-}
+use crate::plans::PlanTable;
+use crate::queue::PlanQueue;
+use crate::request::RequestFacts;
+use crate::scheduler::fleet_update::PoolNames;
+use crate::scheduler::state::{Attempt, Request};
+use crate::settings::SchedulerSettings;
 
-impl Default for SchedulerSettings {
-    fn default() -> Self {
-        Self {
-            policy: PolicyName::Own,
-            seed: 1,
-            max_attempts: 3,
-            retry_after: Duration::from_secs(1),
-        }
-    }
-}
-
-struct Endpoint {
-    view: EndpointView,
-    open: u32,
-}
-
-struct Request {
-    facts: RequestFacts,
-    priority: u32,
-    attempts: u32,
-    live: Vec<AttemptKey>,
-    waiting: bool,
-}
+/// Interval at which pace, stragglers and room are looked at.
+const TICK: Duration = Duration::from_millis(10);
 
-struct Attempt {
-    request: RequestKey,
-    endpoint: EndpointKey,
+/// Budgets of one service.
+#[derive(Debug)]
+struct ServiceBudgets {
+    /// Retries, counted in requests.
+    retry: Budget,
+    /// Second attempts, in seconds of engine time.
+    hedge: Budget,
 }
 
-/// The decisions of one entry: which request goes next, and where.
+/// The decisions of one entry: who is admitted, which request goes next, and where.
+///
+/// The process calls [`Self::poll`] after each other call and at [`Self::next_wake`], and carries
+/// out the actions. Every admitted request ends in exactly one way: an attempt of it ends with
+/// [`AttemptEnd::Done`], or it is refused by an action, or the process withdraws it.
 pub struct Scheduler {
     settings: SchedulerSettings,
-    lists: Option<Arc<Lists>>,
+    random: ChaCha8Rng,
+    listed: bool,
+    plans: PlanTable,
     endpoints: SlotMap<EndpointKey, Endpoint>,
-    names: BTreeMap<String, EndpointKey>,
+    names: HashMap<Arc<str>, EndpointKey>,
+    pools: SlotMap<PoolKey, Pool>,
+    pool_names: PoolNames,
     requests: SlotMap<RequestKey, Request>,
     attempts: SlotMap<AttemptKey, Attempt>,
-    queue: Vec<RequestKey>,
+    customers: HashMap<Arc<str>, u32>,
+    budgets: HashMap<Arc<str>, ServiceBudgets>,
+    returns: HashMap<PoolKey, ReturnPlanner>,
+    cache: CacheMap,
+    /// Moments at which waiting requests are given up.
+    expiries: BTreeSet<(Moment, RequestKey)>,
+    /// Waiting requests of the baselines in order of arrival.
+    arrivals: VecDeque<RequestKey>,
+    /// Requests that later ones got ahead of.
+    behind: Vec<RequestKey>,
+    /// Actions to return with the next poll.
+    outbox: Vec<Action>,
+    scratch: Vec<EndpointKey>,
+    fleet_seen: u64,
+    refreshed: Moment,
+    ticked: Moment,
     turn: usize,
 }
 
 impl Scheduler {
     /// Creates a scheduler that knows no lists and no endpoints.
     pub fn new(settings: SchedulerSettings) -> Self {
+        let random = ChaCha8Rng::seed_from_u64(settings.seed);
         Self {
             settings,
-            lists: None,
+            random,
+            listed: false,
+            plans: PlanTable::default(),
             endpoints: SlotMap::with_key(),
-            names: BTreeMap::new(),
+            names: HashMap::new(),
+            pools: SlotMap::with_key(),
+            pool_names: HashMap::new(),
             requests: SlotMap::with_key(),
             attempts: SlotMap::with_key(),
-            queue: Vec::new(),
+            customers: HashMap::new(),
+            budgets: HashMap::new(),
+            returns: HashMap::new(),
+            cache: CacheMap::default(),
+            expiries: BTreeSet::new(),
+            arrivals: VecDeque::new(),
+            behind: Vec::new(),
+            outbox: Vec::new(),
+            scratch: Vec::new(),
+            fleet_seen: 0,
+            refreshed: Moment::default(),
+            ticked: Moment::default(),
             turn: 0,
         }
     }
 
-    /// Takes over the two lists.
+    /// Takes over the two lists; requests admitted under earlier ones stay admitted.
+    #[allow(clippy::needless_pass_by_value)]
     pub fn set_lists(&mut self, lists: Arc<Lists>) {
-        self.lists = Some(lists);
+        self.listed = true;
+        self.plans.set_lists(&lists);
     }
 
     /// Takes over this entry's shares of the plans' allowances.
-    pub fn set_shares(&mut self, _now: Moment, _grant: &ShareGrant) {}
+    ///
+    /// A grant lapses after two seconds; the entry then keeps to an even part of the allowances.
+    pub fn set_shares(&mut self, now: Moment, grant: &ShareGrant) {
+        self.plans.set_shares(now, grant);
+    }
 
     /// Takes over the endpoints and their lagging load figures.
-    pub fn set_fleet(&mut self, _now: Moment, fleet: &FleetView) {
-        for view in &fleet.endpoints {
-            match self.names.get(&view.name) {
-                Some(key) => self.endpoints[*key].view = view.clone(),
-                None => {
-                    let key = self.endpoints.insert(Endpoint { view: view.clone(), open: 0 });
-                    self.names.insert(view.name.clone(), key);
-                }
-            }
-        }
-        for endpoint in self.endpoints.values_mut() {
-            if !fleet.endpoints.iter().any(|view| view.name == endpoint.view.name) {
-                endpoint.view.state = EndpointState::Gone;
+    ///
+    /// Endpoints that the view leaves out get no new work.
+    pub fn set_fleet(&mut self, now: Moment, fleet: &FleetView) {
+        self.update_fleet(now, fleet);
+    }
+
+    /// Takes over changes of the engines' prefix caches; they may be late and have gaps.
+    pub fn apply_cache(&mut self, batch: &CacheBatch) {
+        for block in &batch.blocks {
+            let Some(endpoint) = self.names.get(block.endpoint.as_str()) else {
+                continue;
+            };
+            if block.stored {
+                self.cache.store(block.block, *endpoint);
+            } else {
+                self.cache.evict(block.block, *endpoint);
             }
         }
     }
 
-    /// Takes over changes of the engines' prefix caches.
-    pub fn apply_cache(&mut self, _batch: &CacheBatch) {}
-
     /// Admits a request.
     ///
     /// # Errors
     ///
     /// A [`Refusal`]; nothing was sent for the request.
-    pub fn submit(&mut self, _now: Moment, facts: RequestFacts) -> Result<RequestKey, Refusal> {
-        let priority = self.check_allowed(&facts)?;
-        let request = Request { facts, priority, attempts: 0, live: Vec::new(), waiting: true };
-        let key = self.requests.insert(request);
-        self.queue.push(key);
-        Ok(key)
+    pub fn submit(&mut self, now: Moment, facts: RequestFacts) -> Result<RequestKey, Refusal> {
+        self.admit(now, facts)
     }
 
     /// Decides what to do now and appends it to `actions`.
     pub fn poll(&mut self, now: Moment, actions: &mut Vec<Action>) {
-        let requests = &self.requests;
-        self.queue.sort_by_key(|key| std::cmp::Reverse(requests[*key].priority));
-        let queue = std::mem::take(&mut self.queue);
-        for key in queue {
-            if self.requests[key].facts.deadline <= now {
-                self.refuse(key, RefusalCode::TooLate, actions);
-            } else if !self.start(key, actions) {
-                self.queue.push(key);
+        self.give_up_expired(now);
+        if self.settings.policy == PolicyName::Own {
+            if now.since(self.ticked) >= TICK {
+                self.observe(now);
+                self.refresh_all(now);
             }
+            self.dispatch_all(now);
+            self.hedge_all(now);
+        } else {
+            self.dispatch_baseline(now);
         }
+        actions.append(&mut self.outbox);
     }
 
     /// When [`Self::poll`] should be called at the latest, if nothing else happens.
     pub fn next_wake(&self, now: Moment) -> Option<Moment> {
-        (!self.requests.is_empty()).then(|| now + Duration::from_millis(20))
+        (!self.requests.is_empty()).then(|| now + TICK)
     }
 
     /// Notes that `tokens` output tokens arrived for an attempt.
-    pub fn note_piece(&mut self, _now: Moment, _attempt: AttemptKey, _tokens: u32) {}
+    pub fn note_piece(&mut self, now: Moment, attempt: AttemptKey, tokens: u32) {
+        self.piece_arrived(now, attempt, tokens);
+    }
 
-    /// Notes that a KV cache computed by a [`Purpose::Prefill`] attempt can be imported.
-    pub fn note_prefilled(&mut self, _now: Moment, _attempt: AttemptKey) {}
+    /// Notes that a KV cache computed by a [`crate::Purpose::Prefill`] attempt can be imported.
+    pub fn note_prefilled(&mut self, now: Moment, attempt: AttemptKey) {
+        self.prompt_processed(now, attempt);
+    }
 
-    /// Notes the end of an attempt; the request ends with [`AttemptEnd::Done`].
-    pub fn note_end(&mut self, _now: Moment, attempt: AttemptKey, end: AttemptEnd) {
-        let Some(ended) = self.attempts.remove(attempt) else {
-            return;
-        };
-        if let Some(endpoint) = self.endpoints.get_mut(ended.endpoint) {
-            endpoint.open = endpoint.open.saturating_sub(1);
-        }
-        let Some(request) = self.requests.get_mut(ended.request) else {
-            return;
-        };
-        request.live.retain(|live| *live != attempt);
-        match end {
-            AttemptEnd::Done => {
-                self.requests.remove(ended.request);
-            }
-            AttemptEnd::NotRun | AttemptEnd::Failed | AttemptEnd::Cancelled => {
-                if request.live.is_empty() && !request.waiting {
-                    request.waiting = true;
-                    self.queue.push(ended.request);
-                }
-            }
-        }
+    /// Notes the end of an attempt; the request ends with [`AttemptEnd::Done`], unless the attempt
+    /// was a [`crate::Purpose::Prefill`] one.
+    pub fn note_end(&mut self, now: Moment, attempt: AttemptKey, end: AttemptEnd) {
+        self.attempt_ended(now, attempt, end);
     }
 
     /// Forgets a request whose caller has gone, and cancels its attempts.
     pub fn withdraw(&mut self, request: RequestKey, actions: &mut Vec<Action>) {
-        if let Some(removed) = self.requests.remove(request) {
-            self.queue.retain(|key| *key != request);
-            actions.extend(removed.live.iter().map(|key| Action::Cancel { attempt: *key }));
-        }
+        self.forget(request);
+        actions.append(&mut self.outbox);
     }
 
-    /// Demand and draw of each plan since the last call, for [`crate::ShareAllocator`].
-    pub fn take_demand(&mut self, _now: Moment) -> Vec<PlanDemand> {
-        Vec::new()
+    /// Demand and draw of each plan, for [`crate::ShareAllocator`]; call it at even intervals.
+    pub fn take_demand(&mut self, now: Moment) -> Vec<PlanDemand> {
+        let pools = &self.pools;
+        let waiting = |plan: usize| {
+            let queues = pools.values().flat_map(|pool| [&pool.queue, &pool.split]);
+            queues.filter_map(|queue| queue.peek(plan)).map(PlanQueue::count).sum()
+        };
+        let taken = self.plans.iter_mut().enumerate();
+        taken.map(|(index, plan)| plan.demand.take(now, &plan.name, waiting(index))).collect()
     }
 
     /// What was seen of each endpoint since the last call, for the load collector.
     pub fn take_observations(&mut self, _now: Moment) -> Vec<Observation> {
-        Vec::new()
-    }
-
-    fn check_allowed(&self, facts: &RequestFacts) -> Result<u32, Refusal> {
-        let refusal = Refusal { code: RefusalCode::NotAllowed, retry_after: None };
-        let lists = self.lists.as_ref().ok_or(refusal)?;
-        let plan = lists.plans.plans.iter().find(|plan| *plan.name == *facts.plan);
-        let plan = plan.ok_or(refusal)?;
-        let allowance = lists.allowances.allowances.iter().find(|a| *a.plan == *facts.plan);
-        let allowance = allowance.ok_or(refusal)?;
-        let service = allowance.services.iter().any(|name| **name == *facts.service);
-        let model = match facts.work {
-            Work::Call(_) => true,
-            Work::Completion(_) => allowance.models.iter().any(|name| **name == *facts.model),
+        let pools = &self.pools;
+        let waiting = |endpoint: &Endpoint| {
+            let pools = endpoint.pools.iter().map(|key| &pools[*key]);
+            let waits = pools.map(|pool| {
+                if endpoint.prefill_only() {
+                    pool.split.count()
+                } else {
+                    pool.queue.count() + u32::try_from(pool.handoff.len()).unwrap_or(u32::MAX)
+                }
+            });
+            waits.sum()
+        };
+        let observe = |endpoint: &mut Endpoint| Observation {
+            endpoint: endpoint.name.to_string(),
+            open: endpoint.open,
+            waiting: waiting(endpoint),
+            tokens: std::mem::take(&mut endpoint.tokens),
+            failures: std::mem::take(&mut endpoint.failures),
         };
-        if service && model { Ok(plan.priority) } else { Err(refusal) }
+        self.endpoints.values_mut().map(observe).collect()
     }
 
-    fn start(&mut self, key: RequestKey, actions: &mut Vec<Action>) -> bool {
-        let request = &self.requests[key];
-        let retry = request.attempts > 0;
-        if request.attempts >= self.settings.max_attempts {
-            self.refuse(key, RefusalCode::Failed, actions);
-            return true;
-        }
-        let Some(endpoint) = self.choose(&request.facts.clone()) else {
-            return false;
-        };
-        let attempt = self.attempts.insert(Attempt { request: key, endpoint });
-        self.endpoints[endpoint].open += 1;
-        let request = &mut self.requests[key];
-        request.attempts += 1;
-        request.waiting = false;
-        request.live.push(attempt);
-        let view = &self.endpoints[endpoint].view;
-        actions.push(Action::Start {
-            request: key,
-            attempt,
-            endpoint,
-            name: view.name.as_str().into(),
-            address: view.address.as_str().into(),
-            purpose: if retry { Purpose::Retry } else { Purpose::First },
-        });
-        true
+    /// Requests that wait for an endpoint.
+    pub fn waiting(&self) -> u32 {
+        let handoff = |pool: &Pool| u32::try_from(pool.handoff.len()).unwrap_or(u32::MAX);
+        self.pools.values().map(|p| p.queue.count() + p.split.count() + handoff(p)).sum()
     }
 
-    fn choose(&mut self, facts: &RequestFacts) -> Option<EndpointKey> {
-        let mut fit: Vec<(EndpointKey, &Endpoint)> =
-            self.endpoints.iter().filter(|(_, endpoint)| fits(&endpoint.view, facts)).collect();
-        fit.sort_by(|a, b| a.1.view.name.cmp(&b.1.view.name));
-        if fit.is_empty() {
-            return None;
-        }
-        self.turn += 1;
-        match self.settings.policy {
-            PolicyName::RoundRobin => Some(fit[self.turn % fit.len()].0),
-            PolicyName::LeastReported => {
-                fit.iter().min_by_key(|(_, e)| e.view.active + e.view.queued).map(|(key, _)| *key)
-            }
-            PolicyName::Own => {
-                fit.iter().min_by_key(|(_, e)| e.open + e.view.queued).map(|(key, _)| *key)
-            }
-        }
+    /// Requests that were neither done nor refused nor withdrawn.
+    pub fn open(&self) -> usize {
+        self.requests.len()
     }
 
-    fn refuse(&mut self, request: RequestKey, code: RefusalCode, actions: &mut Vec<Action>) {
-        self.requests.remove(request);
-        let refusal = Refusal { code, retry_after: Some(self.settings.retry_after) };
-        actions.push(Action::Refuse { request, refusal });
+    fn intern_customer(&mut self, name: &Arc<str>) -> u32 {
+        let next = u32::try_from(self.customers.len()).unwrap_or(u32::MAX);
+        *self.customers.entry(name.clone()).or_insert(next)
     }
-}
 
-fn fits(view: &EndpointView, facts: &RequestFacts) -> bool {
-    let kind = match facts.work {
-        Work::Call(_) => EndpointKind::Service,
-        Work::Completion(_) => EndpointKind::Engine,
-    };
-    let model = view.models.iter().any(|name| **name == *facts.model);
-    view.kind == kind
-        && view.state == EndpointState::Serving
-        && *view.service == *facts.service
-        && (kind == EndpointKind::Service || model)
+    fn budgets(&mut self, service: &Arc<str>) -> &mut ServiceBudgets {
+        let settings = &self.settings;
+        self.budgets.entry(service.clone()).or_insert_with(|| ServiceBudgets {
+            retry: Budget::new(settings.retry.clone()),
+            hedge: Budget::new(settings.hedge.budget.clone()),
+        })
+    }
 }
--- /dev/null
+++ b/crates/policy/src/scheduler/admit.rs
@@ -0,0 +1,248 @@
+//! Admission of requests.
+
+use std::time::Duration;
+
+use agatestair_schema::settings::PolicyName;
+use slotmap::Key;
+
+use crate::action::{Refusal, RefusalCode};
+use crate::fleet::{PoolKey, Route};
+use crate::keys::RequestKey;
+use crate::moment::Moment;
+use crate::queue::{PlanQueue, Ticket};
+use crate::request::{RequestFacts, Work};
+use crate::scheduler::Scheduler;
+use crate::scheduler::state::{Request, Stage};
+use crate::size::SizeClass;
+
+/// Engine time counted for a call of a plain service, in seconds.
+const CALL_WORK: f64 = 0.02;
+
+/// Part of the work of longer requests that is expected to go before a shorter one.
+const LONGER_AHEAD: f64 = 0.25;
+
+/// Least part of the target to the first token that every request may wait.
+const MIN_WAIT_PART: f64 = 0.4;
+
+/// What a request is expected to take.
+#[derive(Clone, Copy, Debug)]
+struct Expected {
+    pool: PoolKey,
+    route: Route,
+    /// Engine time in seconds.
+    work: f64,
+    /// Time to the first token once dispatched, in seconds.
+    first: f64,
+    /// Time to the end once dispatched, in seconds.
+    whole: f64,
+}
+
+impl Scheduler {
+    /// Admits a request, see [`Scheduler::submit`].
+    pub(crate) fn admit(
+        &mut self,
+        now: Moment,
+        facts: RequestFacts,
+    ) -> Result<RequestKey, Refusal> {
+        let plan = self.check_rights(&facts)?;
+        let pool = self.check_pool(&facts)?;
+        let customer = self.intern_customer(&facts.customer);
+        let expected = self.expect(pool, &facts);
+        if let Work::Completion(work) = &facts.work {
+            self.plans.plan_mut(plan).demand.ask(work.prompt_tokens, work.max_tokens);
+        }
+        let class = SizeClass::of(expected.work);
+        let request = RequestKey::null();
+        let ticket = Ticket { request, customer, class, work: expected.work, arrived: now };
+        if self.settings.policy == PolicyName::Own {
+            self.check_bounds(now, plan, &ticket, expected)?;
+            self.check_wait(now, &facts, plan, &ticket, expected)?;
+        } else if facts.deadline <= now {
+            return Err(self.refusal(now, pool, RefusalCode::TooLate, expected.work));
+        }
+        Ok(self.enqueue_new(now, facts, plan, ticket, expected))
+    }
+
+    fn check_rights(&self, facts: &RequestFacts) -> Result<usize, Refusal> {
+        let refusal = Refusal { code: RefusalCode::NotAllowed, retry_after: None };
+        let plan = self.plans.find(&facts.plan).ok_or(refusal)?;
+        let allowed = self.listed && self.plans.plan(plan).allows(facts);
+        if allowed { Ok(plan) } else { Err(refusal) }
+    }
+
+    fn check_pool(&self, facts: &RequestFacts) -> Result<PoolKey, Refusal> {
+        let model = match facts.work {
+            Work::Completion(_) => &*facts.model,
+            Work::Call(_) => "",
+        };
+        let pool = self.find_pool(&facts.service, model);
+        let pool = pool.filter(|pool| !self.pools[*pool].members.is_empty());
+        let retry_after = Some(self.settings.retry_after);
+        pool.ok_or(Refusal { code: RefusalCode::NoEndpoint, retry_after })
+    }
+
+    fn expect(&self, pool: PoolKey, facts: &RequestFacts) -> Expected {
+        let Work::Completion(work) = &facts.work else {
+            let whole = self.pools[pool].gap;
+            return Expected { pool, route: Route::Whole, work: CALL_WORK, first: whole, whole };
+        };
+        let model = &self.settings.engine;
+        let uncached = self.least_uncached(&work.blocks, work.prompt_tokens);
+        let prefill = f64::from(uncached) * model.prefill_us / 1e6;
+        let decode = f64::from(work.max_tokens) * model.token_us() / 1e6;
+        let first = prefill + model.step_us / 1e6;
+        let whole = first + f64::from(work.max_tokens) * self.pools[pool].gap;
+        let route = self.route(pool, uncached);
+        Expected { pool, route, work: prefill + decode, first, whole }
+    }
+
+    /// Refuses when the plan's or the customer's part of the queue is full.
+    fn check_bounds(
+        &mut self,
+        now: Moment,
+        plan: usize,
+        ticket: &Ticket,
+        expected: Expected,
+    ) -> Result<(), Refusal> {
+        let bound = self.plans.plan(plan).max_queue;
+        let settings = &self.settings.queue;
+        let (part, least) = (settings.customer_part, settings.customer_min);
+        let queue = self.pools[expected.pool].queue(expected.route).plan(plan);
+        let others = queue.customers().max(1);
+        let even = f64::from(bound) * part * 2.0 / f64::from(others + 1);
+        let customer_bound = (even as u32).max(least);
+        let full = queue.count() >= bound || queue.count_of(ticket.customer) >= customer_bound;
+        if full {
+            return Err(self.refusal(now, expected.pool, RefusalCode::QueueFull, expected.work));
+        }
+        Ok(())
+    }
+
+    /// Refuses what cannot be on time.
+    fn check_wait(
+        &mut self,
+        now: Moment,
+        facts: &RequestFacts,
+        plan: usize,
+        ticket: &Ticket,
+        expected: Expected,
+    ) -> Result<(), Refusal> {
+        let wait = self.predicted_wait(now, plan, ticket, expected);
+        let start = now + Duration::from_secs_f64(wait);
+        let end = start + Duration::from_secs_f64(expected.whole);
+        let bound = self.wait_bound(facts, plan, expected.first);
+        if start > now + bound || end > facts.deadline {
+            return Err(self.refusal(now, expected.pool, RefusalCode::TooLate, expected.work));
+        }
+        Ok(())
+    }
+
+    /// Longest useful wait of a request.
+    fn wait_bound(&self, facts: &RequestFacts, plan: usize, first: f64) -> Duration {
+        match facts.work {
+            Work::Call(_) => Duration::MAX,
+            Work::Completion(_) => {
+                let target = self.plans.plan(plan).first.as_secs_f64();
+                let late = target * self.settings.queue.late_factor;
+                Duration::from_secs_f64((late - first).max(target * MIN_WAIT_PART))
+            }
+        }
+    }
+
+    /// Expected wait in seconds: the work ahead at the pool's rate, or the plan's own work ahead
+    /// at its guaranteed part of that rate, whichever is shorter.
+    fn predicted_wait(&self, now: Moment, plan: usize, ticket: &Ticket, expected: Expected) -> f64 {
+        let pool = &self.pools[expected.pool];
+        let queue = match expected.route {
+            Route::Whole => &pool.queue,
+            Route::Split => &pool.split,
+        };
+        if queue.count() == 0 {
+            return 0.0;
+        }
+        let state = self.plans.plan(plan);
+        let higher = self.plans.order().iter().take_while(|other| **other != plan);
+        let higher: f64 = higher.filter_map(|other| queue.peek(*other)).map(PlanQueue::work).sum();
+        let own = queue.peek(plan).map_or(0.0, |queue| {
+            let before = queue.work_up_to(ticket.class);
+            let ahead = before + (queue.work() - before) * LONGER_AHEAD;
+            let turns = f64::from(queue.count_of(ticket.customer) + 1) * ticket.work;
+            ahead.min(turns * f64::from(queue.customers() + 1) + queue.work() * LONGER_AHEAD)
+        });
+        let rate = pool.drain.rate(self.expected_rate(expected.pool));
+        let share = state.account.share(now, self.plans.safe_share()) * state.fleet_share;
+        let part = (share / self.plans.part()).clamp(0.0, 1.0);
+        let alone = if part > 0.0 { own / (rate * part) } else { f64::MAX };
+        ((higher + own) / rate).min(alone).min(1e6)
+    }
+
+    /// Engine time a second that a pool is expected to take from this entry.
+    pub(crate) fn expected_rate(&self, pool: PoolKey) -> f64 {
+        f64::from(self.pools[pool].serving()) * self.plans.part()
+    }
+
+    fn enqueue_new(
+        &mut self,
+        now: Moment,
+        facts: RequestFacts,
+        plan: usize,
+        ticket: Ticket,
+        expected: Expected,
+    ) -> RequestKey {
+        let late = match self.settings.policy {
+            PolicyName::Own => now + self.wait_bound(&facts, plan, expected.first),
+            _ => facts.deadline,
+        };
+        let give_up = late.min(facts.deadline);
+        let request = Request {
+            facts,
+            plan,
+            pool: expected.pool,
+            route: expected.route,
+            ticket,
+            stage: Stage::Queued,
+            give_up,
+            attempts: 0,
+            live: Vec::new(),
+            tokens: 0,
+            first: None,
+            started: now,
+            place: None,
+            behind: false,
+            hedges: 0,
+        };
+        let key = self.requests.insert(request);
+        self.requests[key].ticket.request = key;
+        self.enqueue(key);
+        key
+    }
+
+    /// Puts a request into its queue.
+    pub(crate) fn enqueue(&mut self, key: RequestKey) {
+        let request = &mut self.requests[key];
+        request.stage = Stage::Queued;
+        self.expiries.insert((request.give_up, key));
+        if self.settings.policy != PolicyName::Own {
+            self.arrivals.push_back(key);
+            return;
+        }
+        let queue = self.pools[request.pool].queue(request.route);
+        queue.plan(request.plan).push(request.ticket);
+        queue.entered();
+    }
+
+    /// A refusal that tells when to come back.
+    pub(crate) fn refusal(
+        &mut self,
+        now: Moment,
+        pool: PoolKey,
+        code: RefusalCode,
+        work: f64,
+    ) -> Refusal {
+        let rate = self.pools[pool].drain.rate(self.expected_rate(pool));
+        let returns = self.returns.entry(pool).or_default();
+        let least = self.settings.retry_after;
+        let wait = returns.next(now, least, work / rate, &mut self.random);
+        Refusal { code, retry_after: Some(wait) }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -0,0 +1,230 @@
+//! Which request goes next, and the start of attempts.
+
+use agatestair_schema::link::EndpointKind;
+
+use crate::action::{Action, Purpose, RefusalCode};
+use crate::fleet::{PoolKey, Route};
+use crate::keys::RequestKey;
+use crate::moment::Moment;
+use crate::queue::Ticket;
+use crate::request::Work;
+use crate::scheduler::Scheduler;
+use crate::scheduler::place::{Choice, Part};
+use crate::scheduler::state::{Attempt, Stage};
+use crate::shares::KindSplit;
+
+/// A request whose turn it is.
+#[derive(Clone, Copy, Debug)]
+struct Turn {
+    ticket: Ticket,
+    /// Whether its plan is within its share.
+    within: bool,
+}
+
+impl Scheduler {
+    /// Starts what can be started in all pools.
+    pub(crate) fn dispatch_all(&mut self, now: Moment) {
+        self.refill_accounts(now);
+        let pools: Vec<PoolKey> = self.pools.keys().collect();
+        for pool in pools {
+            self.dispatch_handoffs(now, pool);
+            self.dispatch_route(now, pool, Route::Split);
+            self.dispatch_route(now, pool, Route::Whole);
+            let pool = &mut self.pools[pool];
+            let waiting = pool.queue.count() + pool.split.count() > 0;
+            pool.drain.advance(now, waiting);
+        }
+    }
+
+    fn refill_accounts(&mut self, now: Moment) {
+        let split = self.kind_split();
+        let engines = self.endpoints.values().filter(|e| e.view.kind == EndpointKind::Engine);
+        let local = u32::try_from(engines.count()).unwrap_or(u32::MAX);
+        let fleet = self.plans.engines(local) * self.efficiency();
+        let safe = self.plans.safe_share();
+        for plan in self.plans.iter_mut() {
+            let rate = plan.fleet_share * plan.account.share(now, safe) * fleet;
+            plan.account.refill(now, rate, split);
+        }
+    }
+
+    /// Ratio of the engine time that the pools take to what is expected of them.
+    fn efficiency(&self) -> f64 {
+        let mut expected = 1e-6;
+        let mut real = 1e-6;
+        for (key, pool) in &self.pools {
+            if pool.kind == EndpointKind::Engine {
+                let rate = self.expected_rate(key);
+                expected += rate;
+                real += pool.drain.rate(rate);
+            }
+        }
+        (real / expected).clamp(0.02, 1.5)
+    }
+
+    fn kind_split(&self) -> KindSplit {
+        let whole: u32 = self.pools.values().map(|pool| pool.whole_count).sum();
+        let prefill: u32 = self.pools.values().map(|pool| pool.prefill_count).sum();
+        if prefill == 0 {
+            return KindSplit { prefill: 0.5, separate: false };
+        }
+        let part = f64::from(prefill) / f64::from(prefill + whole);
+        KindSplit { prefill: part, separate: whole > 0 }
+    }
+
+    fn dispatch_handoffs(&mut self, now: Moment, pool: PoolKey) {
+        while let Some(key) = self.pools[pool].handoff.front().copied() {
+            let waits = self.requests.get(key).is_some_and(|r| r.stage == Stage::Handoff);
+            if waits {
+                let Some(choice) = self.choose(now, key, Part::Answer) else { return };
+                self.expiries.remove(&(self.requests[key].give_up, key));
+                self.start(now, key, choice, Purpose::First);
+            }
+            self.pools[pool].handoff.pop_front();
+        }
+    }
+
+    fn dispatch_route(&mut self, now: Moment, pool: PoolKey, route: Route) {
+        while self.pools[pool].queue(route).count() > 0 {
+            let Some(part) = self.open_part(pool, route) else { return };
+            let Some(turn) = self.next_turn(now, pool, route) else { return };
+            let key = turn.ticket.request;
+            let Some(choice) = self.choose(now, key, part) else {
+                self.enqueue(key);
+                return;
+            };
+            self.draw(key, choice, turn.within);
+            let purpose = match part {
+                Part::Prompt => Purpose::Prefill,
+                _ if self.requests[key].attempts > 0 => Purpose::Retry,
+                _ => Purpose::First,
+            };
+            self.start(now, key, choice, purpose);
+        }
+    }
+
+    /// What the next request of a route can be asked for, if any endpoint has room.
+    fn open_part(&self, pool: PoolKey, route: Route) -> Option<Part> {
+        let pool = &self.pools[pool];
+        let whole = !pool.whole.is_empty();
+        match route {
+            Route::Whole if whole => Some(Part::Whole),
+            Route::Whole if pool.whole_count == 0 && !pool.prefill.is_empty() => Some(Part::Whole),
+            Route::Whole => None,
+            Route::Split if !pool.prefill.is_empty() && pool.whole_count > 0 => Some(Part::Prompt),
+            Route::Split if pool.whole_count == 0 && !pool.prefill.is_empty() => Some(Part::Whole),
+            Route::Split if whole && pool.queue.count() == 0 => Some(Part::Whole),
+            Route::Split => None,
+        }
+    }
+
+    /// Takes the next request out of its queue: plans within their share first, by priority, then
+    /// those that may use idle shares, by priority.
+    fn next_turn(&mut self, now: Moment, pool: PoolKey, route: Route) -> Option<Turn> {
+        let split = self.kind_split();
+        let age_part = self.settings.queue.age_part;
+        let pool = &mut self.pools[pool];
+        let calls = pool.kind == EndpointKind::Service;
+        let queue = pool.queue(route);
+        for borrowing in [false, true] {
+            for index in self.plans.order() {
+                let plan = self.plans.plan(*index);
+                let within = calls || plan.account.within(split);
+                let may = if borrowing { plan.borrow && !within } else { within };
+                if !may || queue.peek(*index).is_none_or(|queue| queue.count() == 0) {
+                    continue;
+                }
+                let requests = &self.requests;
+                let gone =
+                    |key| requests.get(key).is_none_or(|request| request.stage != Stage::Queued);
+                let bound = plan.first.mul_f64(age_part);
+                if let Some(ticket) = queue.plan(*index).pop(now, bound, &gone) {
+                    queue.left();
+                    self.expiries.remove(&(requests[ticket.request].give_up, ticket.request));
+                    return Some(Turn { ticket, within });
+                }
+            }
+        }
+        None
+    }
+
+    /// Counts a request against its plan's share.
+    fn draw(&mut self, key: RequestKey, choice: Choice, within: bool) {
+        let request = &self.requests[key];
+        let pool = &mut self.pools[request.pool];
+        let waiting = pool.queue.count() + pool.split.count() > 0;
+        pool.drain.note(request.ticket.work, waiting);
+        let Work::Completion(work) = &request.facts.work else { return };
+        let model = &self.settings.engine;
+        let prefill = f64::from(choice.uncached) * model.prefill_us / 1e6;
+        let decode = f64::from(work.max_tokens) * model.token_us() / 1e6;
+        let plan = self.plans.plan_mut(request.plan);
+        if within {
+            plan.account.draw(prefill, decode);
+        } else {
+            plan.account.borrow(prefill, decode);
+        }
+        plan.demand.draw(choice.uncached, work.max_tokens);
+    }
+
+    /// Starts an attempt.
+    pub(crate) fn start(&mut self, now: Moment, key: RequestKey, choice: Choice, purpose: Purpose) {
+        let request = &mut self.requests[key];
+        let attempt = self.attempts.insert(Attempt {
+            request: key,
+            endpoint: choice.endpoint,
+            purpose,
+            started: now,
+            offset: request.tokens,
+            tokens: 0,
+            prefill: choice.uncached,
+            first: None,
+            expected: choice.expected,
+            cancelled: false,
+            disturbed: false,
+            counted: now,
+            fresh: 0,
+            charge: 0.0,
+        });
+        request.live.push(attempt);
+        request.stage = Stage::Running;
+        if purpose != Purpose::Hedge {
+            request.attempts += 1;
+            request.started = now;
+        }
+        if request.place.is_none() {
+            let lane = &mut self.pools[request.pool].lanes[request.ticket.class.index()];
+            request.place = Some(lane.start(key));
+        }
+        if matches!(purpose, Purpose::First | Purpose::Prefill) {
+            let (work, service) = (request.ticket.work, request.facts.service.clone());
+            let budgets = self.budgets(&service);
+            budgets.retry.earn(1.0);
+            budgets.hedge.earn(work);
+        }
+        let endpoint = &mut self.endpoints[choice.endpoint];
+        endpoint.open += 1;
+        endpoint.prefill += u64::from(choice.uncached);
+        endpoint.note_open(now);
+        self.outbox.push(Action::Start {
+            request: key,
+            attempt,
+            endpoint: choice.endpoint,
+            name: endpoint.name.clone(),
+            address: endpoint.address.clone(),
+            purpose,
+        });
+        self.refresh(now, choice.endpoint);
+    }
+
+    /// Refuses waiting requests whose time is over.
+    pub(crate) fn give_up_expired(&mut self, now: Moment) {
+        while let Some((at, key)) = self.expiries.first().copied() {
+            if at > now {
+                return;
+            }
+            self.expiries.pop_first();
+            self.refuse(now, key, RefusalCode::TooLate);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/fleet_update.rs
@@ -0,0 +1,159 @@
+//! Taking over of fleet views.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use agatestair_schema::link::{EndpointKind, EndpointState, EndpointView, FleetView};
+
+use crate::fleet::{Endpoint, Pool, PoolKey};
+use crate::keys::EndpointKey;
+use crate::moment::Moment;
+use crate::scheduler::Scheduler;
+
+/// Usual duration of a call before any was seen, in seconds.
+const CALL_SECS: f64 = 0.02;
+
+/// Pools by service and model.
+pub(crate) type PoolNames = HashMap<Arc<str>, HashMap<Arc<str>, PoolKey>>;
+
+impl Scheduler {
+    /// Takes over a fleet view, see [`Scheduler::set_fleet`].
+    pub(crate) fn update_fleet(&mut self, now: Moment, fleet: &FleetView) {
+        self.fleet_seen += 1;
+        let part = self.plans.part();
+        for view in &fleet.endpoints {
+            let key = self.intern_endpoint(view);
+            let model = &self.settings.engine;
+            let endpoint = &mut self.endpoints[key];
+            endpoint.seen = self.fleet_seen;
+            let moved = endpoint.pools.is_empty() || endpoint.view.models != view.models;
+            let fresh = endpoint.view.report != view.report || endpoint.view.age_ms != view.age_ms;
+            endpoint.view.clone_from(view);
+            if fresh || moved {
+                endpoint.update(now, model, part);
+            }
+            if &*endpoint.address != view.address.as_str() {
+                endpoint.address = view.address.as_str().into();
+            }
+            if moved {
+                self.join_pools(key);
+            }
+        }
+        self.drop_unseen();
+        self.count_serving();
+        self.refresh_all(now);
+    }
+
+    fn intern_endpoint(&mut self, view: &EndpointView) -> EndpointKey {
+        if let Some(key) = self.names.get(view.name.as_str()) {
+            return *key;
+        }
+        let endpoint = Endpoint::new(view, &self.settings.engine);
+        let name = endpoint.name.clone();
+        let key = self.endpoints.insert(endpoint);
+        self.names.insert(name, key);
+        key
+    }
+
+    /// Puts an endpoint into the pools of the models that it serves.
+    fn join_pools(&mut self, key: EndpointKey) {
+        self.leave_pools(key);
+        let view = &self.endpoints[key].view;
+        let (service, kind) = (view.service.clone(), view.kind);
+        let models = match kind {
+            EndpointKind::Engine => view.models.clone(),
+            EndpointKind::Service => vec![String::new()],
+        };
+        for model in models {
+            let pool = self.intern_pool(&service, &model, kind);
+            self.pools[pool].members.push(key);
+            self.endpoints[key].pools.push(pool);
+        }
+    }
+
+    fn leave_pools(&mut self, key: EndpointKey) {
+        for pool in std::mem::take(&mut self.endpoints[key].pools) {
+            let pool = &mut self.pools[pool];
+            pool.members.retain(|member| *member != key);
+            pool.whole.set(key, false);
+            pool.prefill.set(key, false);
+        }
+    }
+
+    fn intern_pool(&mut self, service: &str, model: &str, kind: EndpointKind) -> PoolKey {
+        if let Some(pool) = self.find_pool(service, model) {
+            return pool;
+        }
+        let gap = match kind {
+            EndpointKind::Engine => self.settings.engine.step_us * 1.25 / 1e6,
+            EndpointKind::Service => CALL_SECS,
+        };
+        let service: Arc<str> = service.into();
+        let model: Arc<str> = model.into();
+        let pool = self.pools.insert(Pool::new(kind, gap));
+        self.pool_names.entry(service).or_default().insert(model, pool);
+        pool
+    }
+
+    /// The pool of a service and model.
+    pub(crate) fn find_pool(&self, service: &str, model: &str) -> Option<PoolKey> {
+        self.pool_names.get(service)?.get(model).copied()
+    }
+
+    /// Marks endpoints that the last view left out as gone; forgets those without attempts.
+    fn drop_unseen(&mut self) {
+        let seen = self.fleet_seen;
+        let gone: Vec<EndpointKey> =
+            self.endpoints.iter().filter(|(_, e)| e.seen != seen).map(|(key, _)| key).collect();
+        for key in gone {
+            self.endpoints[key].view.state = EndpointState::Gone;
+            if self.endpoints[key].open == 0 {
+                self.leave_pools(key);
+                self.cache.forget(key);
+                if let Some(endpoint) = self.endpoints.remove(key) {
+                    self.names.remove(&endpoint.name);
+                }
+            }
+        }
+    }
+
+    fn count_serving(&mut self) {
+        for pool in self.pools.values_mut() {
+            let serving = pool.members.iter().map(|key| &self.endpoints[*key]);
+            let serving: Vec<&Endpoint> = serving.filter(|e| e.serving()).collect();
+            let prefill = serving.iter().filter(|e| e.prefill_only()).count();
+            pool.prefill_count = u32::try_from(prefill).unwrap_or(u32::MAX);
+            pool.whole_count = u32::try_from(serving.len() - prefill).unwrap_or(u32::MAX);
+        }
+    }
+
+    /// Brings the sets of endpoints with room up to date.
+    pub(crate) fn refresh_all(&mut self, now: Moment) {
+        self.refreshed = now;
+        for (key, endpoint) in &self.endpoints {
+            let room = endpoint.has_room(now, &self.settings.engine);
+            set_room(&mut self.pools, endpoint, key, room);
+        }
+    }
+
+    /// Brings the sets up to date for one endpoint.
+    pub(crate) fn refresh(&mut self, now: Moment, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get(key) {
+            let room = endpoint.has_room(now, &self.settings.engine);
+            set_room(&mut self.pools, endpoint, key, room);
+        }
+    }
+}
+
+fn set_room(
+    pools: &mut slotmap::SlotMap<PoolKey, Pool>,
+    endpoint: &Endpoint,
+    key: EndpointKey,
+    room: bool,
+) {
+    for pool in &endpoint.pools {
+        let pool = &mut pools[*pool];
+        pool.prefill.set(key, room && endpoint.prefill_only());
+        pool.whole.set(key, room && !endpoint.prefill_only());
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/hedge.rs
@@ -0,0 +1,143 @@
+//! Second attempts beside slow ones.
+
+use std::time::Duration;
+
+use agatestair_schema::link::EndpointKind;
+
+use crate::action::Purpose;
+use crate::fleet::PoolKey;
+use crate::keys::RequestKey;
+use crate::moment::Moment;
+use crate::scheduler::Scheduler;
+use crate::scheduler::place::Part;
+use crate::scheduler::state::{Request, Stage};
+use crate::settings::HedgeRule;
+
+/// Engine time of a second attempt, in seconds.
+#[derive(Clone, Copy, Debug)]
+struct HedgeWork {
+    /// For the prompt.
+    prompt: f64,
+    /// For the rest of the answer.
+    output: f64,
+}
+
+impl Scheduler {
+    /// Starts second attempts where the rule asks for them and the budget allows them.
+    pub(crate) fn hedge_all(&mut self, now: Moment) {
+        let mut candidates = std::mem::take(&mut self.behind);
+        match self.settings.hedge.rule {
+            HedgeRule::Off => return,
+            HedgeRule::Progress(_) => {}
+            HedgeRule::Fixed(delay) => self.collect_overdue(now, &mut candidates, |_, _| delay),
+            HedgeRule::Percentile(quantile) => {
+                self.collect_overdue(now, &mut candidates, |ratio, work| match ratio(quantile) {
+                    Some(ratio) => Duration::from_secs_f64((ratio * work).min(1e6)),
+                    None => Duration::MAX,
+                });
+            }
+        }
+        candidates.retain(|key| {
+            let open = self.requests.get(*key);
+            let progress = matches!(self.settings.hedge.rule, HedgeRule::Progress(_));
+            open.is_some_and(|request| {
+                let asked = request.behind || !progress;
+                asked && request.hedges == 0 && request.stage == Stage::Running
+            })
+        });
+        candidates.retain(|key| !self.hedge(now, *key));
+        if matches!(self.settings.hedge.rule, HedgeRule::Progress(_)) {
+            self.behind = candidates;
+        }
+    }
+
+    /// Appends the running requests that have taken longer than `delay` says for their lane.
+    fn collect_overdue(
+        &self,
+        now: Moment,
+        candidates: &mut Vec<RequestKey>,
+        delay: impl Fn(&dyn Fn(f64) -> Option<f64>, f64) -> Duration,
+    ) {
+        for pool in self.pools.values() {
+            for lane in &pool.lanes {
+                let quantile = |q: f64| lane.quantile(q);
+                for key in lane.requests() {
+                    let Some(request) = self.requests.get(key) else { continue };
+                    let bound = delay(&quantile, request.ticket.work);
+                    if now.since(request.started) >= bound {
+                        candidates.push(key);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Starts a second attempt of a request; returns whether it did.
+    fn hedge(&mut self, now: Moment, key: RequestKey) -> bool {
+        let request = &self.requests[key];
+        if !request.idempotent() || request.live.len() != 1 || !self.worth(now, request) {
+            return false;
+        }
+        if self.attempts[request.live[0]].purpose == Purpose::Prefill {
+            return false;
+        }
+        let service = request.facts.service.clone();
+        let pool = request.pool;
+        let Some(choice) = self.choose(now, key, Part::Whole) else { return false };
+        if self.endpoints[choice.endpoint].slow >= self.settings.eject.good_ratio {
+            return false;
+        }
+        let charge = self.hedge_work(pool, key, choice.uncached);
+        if !self.budgets(&service).hedge.spend(charge.prompt + charge.output) {
+            return false;
+        }
+        self.start(now, key, choice, Purpose::Hedge);
+        let request = &mut self.requests[key];
+        request.hedges += 1;
+        if let Some(attempt) = request.live.last() {
+            self.attempts[*attempt].charge = charge.output;
+        }
+        true
+    }
+
+    /// Engine time that a second attempt takes at most.
+    fn hedge_work(&self, pool: PoolKey, key: RequestKey, uncached: u32) -> HedgeWork {
+        let request = &self.requests[key];
+        let model = &self.settings.engine;
+        if self.pools[pool].kind == EndpointKind::Service {
+            return HedgeWork { prompt: request.ticket.work, output: 0.0 };
+        }
+        let rest = f64::from(request.output().saturating_sub(request.tokens));
+        HedgeWork {
+            prompt: f64::from(uncached) * model.prefill_us / 1e6,
+            output: rest * model.token_us() / 1e6,
+        }
+    }
+
+    /// Whether the rest of a request is expected to take so much longer here than elsewhere.
+    fn worth(&self, now: Moment, request: &Request) -> bool {
+        let benefit = self.settings.hedge.benefit;
+        if benefit <= 0.0 {
+            return true;
+        }
+        let attempt = &self.attempts[request.live[0]];
+        let pool = &self.pools[request.pool];
+        let model = &self.settings.engine;
+        let elapsed = now.since(attempt.started).as_secs_f64();
+        let rest = f64::from(request.output().saturating_sub(request.tokens));
+        let slow = self.endpoints.get(attempt.endpoint).map_or(20.0, |endpoint| endpoint.slow);
+        let prefill = f64::from(request.prompt()) * model.prefill_us / 1e6;
+        let elsewhere = prefill + (rest + 1.0) * pool.gap;
+        let here = match attempt.first {
+            None => {
+                elapsed.max(attempt.expected * pool.delay * slow - elapsed) + rest * pool.gap * slow
+            }
+            Some(first) => {
+                let streamed = now.since(first).as_secs_f64();
+                let own = streamed / (f64::from(attempt.tokens) + 0.5);
+                rest * own.max(pool.gap * slow * 0.5)
+            }
+        };
+        here >= elsewhere * benefit
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/observe.rs
@@ -0,0 +1,128 @@
+//! Pace of the endpoints as seen in their answers; ejection and re-entry.
+
+use agatestair_schema::link::EndpointKind;
+
+use crate::fleet::{Phase, PoolKey};
+use crate::keys::EndpointKey;
+use crate::moment::Moment;
+use crate::scheduler::Scheduler;
+
+/// Weight of the delays of first tokens and calls, which vary more than the pace of answers.
+const DELAY_WEIGHT: f64 = 0.7;
+
+/// Streaming time and tokens of one endpoint since the last look.
+#[derive(Clone, Copy, Debug, Default)]
+struct Streamed {
+    secs: f64,
+    tokens: f64,
+}
+
+impl Scheduler {
+    /// Updates the pace of all endpoints and ejects or re-admits them.
+    pub(crate) fn observe(&mut self, now: Moment) {
+        let elapsed = now.since(self.ticked).as_secs_f64().min(1.0);
+        self.ticked = now;
+        self.collect_streams(now, elapsed);
+        let pools: Vec<PoolKey> = self.pools.keys().collect();
+        for pool in pools {
+            self.update_usual(pool);
+            self.judge_members(now, pool);
+        }
+    }
+
+    /// Adds up the streaming since the last look, without the time when the endpoint had prompts
+    /// to process as well.
+    fn collect_streams(&mut self, now: Moment, elapsed: f64) {
+        let mut streams = slotmap::SecondaryMap::<EndpointKey, Streamed>::new();
+        for attempt in self.attempts.values_mut() {
+            let Some(endpoint) = self.endpoints.get(attempt.endpoint) else { continue };
+            let prompts = endpoint.backlog_us(now, &self.settings.engine) > 0.0;
+            let disturbed = std::mem::replace(&mut attempt.disturbed, prompts) || prompts;
+            let secs = now.since(attempt.counted).as_secs_f64();
+            let tokens = std::mem::take(&mut attempt.fresh);
+            attempt.counted = now;
+            if attempt.first.is_none() || disturbed {
+                continue;
+            }
+            if let Some(entry) = streams.entry(attempt.endpoint) {
+                let sum = entry.or_default();
+                sum.secs += secs;
+                sum.tokens += f64::from(tokens);
+            }
+        }
+        for (key, endpoint) in &mut self.endpoints {
+            let streamed = streams.get(key).copied().unwrap_or_default();
+            endpoint.health.note_stream(streamed.secs, streamed.tokens, elapsed);
+        }
+    }
+
+    /// Updates the usual pace of a pool: the median over its endpoints.
+    fn update_usual(&mut self, pool: PoolKey) {
+        let pool = &mut self.pools[pool];
+        let members = pool.members.iter().filter_map(|key| self.endpoints.get(*key));
+        let mut gaps: Vec<f64> = members.filter_map(|e| e.health.gap()).collect();
+        if let Some(gap) = median(&mut gaps).filter(|_| pool.kind == EndpointKind::Engine) {
+            pool.gap = gap;
+        }
+        let members = pool.members.iter().filter_map(|key| self.endpoints.get(*key));
+        let mut delays: Vec<f64> = members.filter_map(|e| e.health.delay()).collect();
+        if let Some(delay) = median(&mut delays) {
+            pool.delay = delay;
+        }
+    }
+
+    fn judge_members(&mut self, now: Moment, pool: PoolKey) {
+        for index in 0..self.pools[pool].members.len() {
+            let key = self.pools[pool].members[index];
+            let gap = self.pools[pool].gap.max(1e-6);
+            let Some(endpoint) = self.endpoints.get_mut(key) else { continue };
+            let pace = endpoint.health.gap().map(|own| own / gap);
+            let usual = self.pools[pool].delay.max(1e-3);
+            let delay = endpoint.health.delay().map(|delay| delay / usual * DELAY_WEIGHT);
+            let ratio = pace.into_iter().chain(delay).fold(1.0, f64::max);
+            endpoint.slow = ratio.clamp(1.0, 20.0);
+            match endpoint.health.phase() {
+                Phase::Normal if ratio >= self.settings.eject.slow_ratio => self.eject(now, key),
+                Phase::Probing(_) if ratio >= self.settings.eject.slow_ratio => {
+                    self.eject(now, key);
+                }
+                Phase::Probing(_) if ratio < self.settings.eject.good_ratio => {
+                    let full = endpoint.slots();
+                    if pace.is_some() || delay.is_some() {
+                        endpoint.health.recover(full);
+                    }
+                }
+                Phase::Ejected(until) if until <= now => endpoint.health.probe(),
+                _ => {}
+            }
+        }
+    }
+
+    /// Ejects an endpoint, unless too large a part of one of its pools is ejected already.
+    pub(crate) fn eject(&mut self, now: Moment, key: EndpointKey) {
+        let part = self.settings.eject.max_part;
+        let allowed = self.endpoints[key].pools.iter().all(|pool| {
+            let members = &self.pools[*pool].members;
+            let serving = members.iter().filter(|member| self.endpoints[**member].serving());
+            let (mut count, mut ejected) = (0_u32, 0_u32);
+            for member in serving {
+                count += 1;
+                let out = matches!(self.endpoints[*member].health.phase(), Phase::Ejected(_));
+                ejected += u32::from(out);
+            }
+            f64::from(ejected + 1) <= f64::from(count) * part
+        });
+        if allowed {
+            self.endpoints[key].health.eject(now, &self.settings.eject);
+            self.refresh(now, key);
+        }
+    }
+}
+
+fn median(values: &mut [f64]) -> Option<f64> {
+    if values.is_empty() {
+        return None;
+    }
+    let middle = (values.len() - 1) / 2;
+    Some(*values.select_nth_unstable_by(middle, f64::total_cmp).1)
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/outcome.rs
@@ -0,0 +1,246 @@
+//! Pieces, ends of attempts, and ends of requests.
+
+use agatestair_schema::settings::PolicyName;
+
+use crate::action::{Action, AttemptEnd, Purpose, RefusalCode};
+use crate::fleet::Route;
+use crate::keys::{AttemptKey, RequestKey};
+use crate::moment::Moment;
+use crate::scheduler::Scheduler;
+use crate::scheduler::state::{Attempt, Stage};
+use crate::settings::HedgeRule;
+use crate::straggler::Milestone;
+
+impl Scheduler {
+    /// Notes arrived tokens, see [`Scheduler::note_piece`].
+    pub(crate) fn piece_arrived(&mut self, now: Moment, key: AttemptKey, tokens: u32) {
+        let Some(attempt) = self.attempts.get_mut(key) else { return };
+        attempt.tokens += tokens;
+        attempt.fresh += tokens;
+        let endpoint = attempt.endpoint;
+        let request = attempt.request;
+        let first = attempt.first.is_none();
+        if first {
+            attempt.first = Some(now);
+            attempt.counted = now;
+            attempt.fresh = 0;
+        }
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+            endpoint.tokens += u64::from(tokens);
+        }
+        if first {
+            self.first_arrived(now, key);
+        }
+        let reached = self.attempts[key].reached();
+        let Some(request_state) = self.requests.get_mut(request) else { return };
+        request_state.tokens = request_state.tokens.max(reached);
+        if request_state.first.is_none() {
+            request_state.first = Some(now);
+            request_state.behind = false;
+            self.got_ahead(request, Milestone::First);
+        }
+        if self.requests[request].live.len() > 1 {
+            self.cancel_overtaken(request, key, reached);
+        }
+    }
+
+    /// Updates load, pace and cache map at the first token of an attempt.
+    fn first_arrived(&mut self, now: Moment, key: AttemptKey) {
+        self.release_prefill(now, key);
+        let attempt = &self.attempts[key];
+        let secs = now.since(attempt.started).as_secs_f64();
+        let endpoint = attempt.endpoint;
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.health.note_delay(secs / attempt.expected.max(1e-4));
+        }
+        if let Some(request) = self.requests.get(attempt.request) {
+            for block in request.blocks() {
+                self.cache.store(*block, endpoint);
+            }
+        }
+    }
+
+    /// Takes an attempt's prompt out of the endpoint's backlog.
+    fn release_prefill(&mut self, now: Moment, key: AttemptKey) {
+        let attempt = &mut self.attempts[key];
+        let prefill = std::mem::take(&mut attempt.prefill);
+        let endpoint = attempt.endpoint;
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.prefill = state.prefill.saturating_sub(u64::from(prefill));
+            state.note_open(now);
+        }
+        self.refresh(now, endpoint);
+    }
+
+    /// Notes in its lane that a request got ahead of the earlier ones.
+    fn got_ahead(&mut self, key: RequestKey, milestone: Milestone) {
+        let HedgeRule::Progress(limit) = self.settings.hedge.rule else { return };
+        let request = &self.requests[key];
+        let Some(place) = request.place else { return };
+        let lane = &mut self.pools[request.pool].lanes[request.ticket.class.index()];
+        let mut passed = Vec::new();
+        lane.pass(place, milestone, limit, &mut passed);
+        for key in passed {
+            let Some(request) = self.requests.get_mut(key) else { continue };
+            if !request.behind && request.hedges == 0 {
+                request.behind = true;
+                self.behind.push(key);
+            }
+        }
+    }
+
+    /// Cancels the attempts that a later one has overtaken.
+    fn cancel_overtaken(&mut self, request: RequestKey, leader: AttemptKey, reached: u32) {
+        let started = self.attempts[leader].started;
+        let live = self.requests[request].live.clone();
+        for key in live.into_iter().filter(|key| *key != leader) {
+            let attempt = &self.attempts[key];
+            let later = started >= attempt.started;
+            if later && reached >= attempt.reached() {
+                self.cancel(key);
+                self.refund_hedge(leader);
+            }
+        }
+    }
+
+    /// Gives back what a second attempt did not use, or uses in place of the first one.
+    fn refund_hedge(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get_mut(key) else { return };
+        let used = f64::from(attempt.tokens) * self.settings.engine.token_us() / 1e6;
+        let refund = std::mem::take(&mut attempt.charge) - used;
+        let Some(request) = self.requests.get(attempt.request) else { return };
+        let service = request.facts.service.clone();
+        self.budgets(&service).hedge.refund(refund);
+    }
+
+    /// Asks for the cancellation of an attempt.
+    pub(crate) fn cancel(&mut self, key: AttemptKey) {
+        if let Some(attempt) = self.attempts.get_mut(key).filter(|attempt| !attempt.cancelled) {
+            attempt.cancelled = true;
+            self.outbox.push(Action::Cancel { attempt: key });
+        }
+    }
+
+    /// Notes a processed prompt, see [`Scheduler::note_prefilled`].
+    pub(crate) fn prompt_processed(&mut self, now: Moment, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get(key) else { return };
+        let request = attempt.request;
+        if attempt.purpose != Purpose::Prefill || attempt.first.is_some() {
+            return;
+        }
+        self.attempts[key].first = Some(now);
+        self.first_arrived(now, key);
+        let Some(state) = self.requests.get_mut(request) else { return };
+        state.live.retain(|live| *live != key);
+        state.stage = Stage::Handoff;
+        state.give_up = state.facts.deadline;
+        self.expiries.insert((state.give_up, request));
+        self.pools[state.pool].handoff.push_back(request);
+    }
+
+    /// Notes the end of an attempt, see [`Scheduler::note_end`].
+    pub(crate) fn attempt_ended(&mut self, now: Moment, key: AttemptKey, end: AttemptEnd) {
+        if !self.attempts.contains_key(key) {
+            return;
+        }
+        if end == AttemptEnd::Done && self.attempts[key].purpose == Purpose::Prefill {
+            self.prompt_processed(now, key);
+        }
+        self.release_prefill(now, key);
+        self.refund_hedge(key);
+        let Some(attempt) = self.attempts.remove(key) else { return };
+        self.release_endpoint(now, &attempt, end);
+        let Some(request) = self.requests.get_mut(attempt.request) else { return };
+        request.live.retain(|live| *live != key);
+        if attempt.purpose == Purpose::Prefill && attempt.first.is_some() {
+            return;
+        }
+        match end {
+            AttemptEnd::Done => self.request_done(now, &attempt),
+            AttemptEnd::NotRun | AttemptEnd::Failed | AttemptEnd::Cancelled => {
+                self.attempt_failed(now, &attempt, end);
+            }
+        }
+    }
+
+    fn release_endpoint(&mut self, now: Moment, attempt: &Attempt, end: AttemptEnd) {
+        let Some(endpoint) = self.endpoints.get_mut(attempt.endpoint) else { return };
+        endpoint.open = endpoint.open.saturating_sub(1);
+        endpoint.note_open(now);
+        let failed = matches!(end, AttemptEnd::NotRun | AttemptEnd::Failed) && !attempt.cancelled;
+        if failed {
+            endpoint.failures += 1;
+            if endpoint.health.note_failure() {
+                self.eject(now, attempt.endpoint);
+            }
+        } else if end == AttemptEnd::Done && attempt.first.is_none() {
+            let secs = now.since(attempt.started).as_secs_f64();
+            endpoint.health.note_delay(secs / attempt.expected.max(1e-4));
+        }
+        self.refresh(now, attempt.endpoint);
+    }
+
+    fn request_done(&mut self, now: Moment, attempt: &Attempt) {
+        let key = attempt.request;
+        let request = &self.requests[key];
+        let whole = now.since(request.started).as_secs_f64();
+        let expected = request.ticket.work.max(1e-4);
+        let unused = request.output().saturating_sub(attempt.reached());
+        let unused = f64::from(unused) * self.settings.engine.token_us() / 1e6;
+        self.plans.plan_mut(request.plan).account.draw(0.0, -unused);
+        let lane = &mut self.pools[request.pool].lanes[request.ticket.class.index()];
+        lane.note_time(whole / expected);
+        self.got_ahead(key, Milestone::Done);
+        self.forget(key);
+    }
+
+    fn attempt_failed(&mut self, now: Moment, attempt: &Attempt, end: AttemptEnd) {
+        let key = attempt.request;
+        let request = &mut self.requests[key];
+        let waits = request.stage != Stage::Running;
+        if waits || request.live.iter().any(|live| !self.attempts[*live].cancelled) {
+            return;
+        }
+        let may_run = end == AttemptEnd::NotRun || request.idempotent();
+        let more = request.attempts < self.settings.max_attempts && may_run;
+        if attempt.purpose == Purpose::Prefill {
+            request.route = Route::Whole;
+        }
+        let service = request.facts.service.clone();
+        if !more || !self.budgets(&service).retry.spend(1.0) {
+            self.refuse(now, key, RefusalCode::Failed);
+            return;
+        }
+        self.requests[key].give_up = self.requests[key].facts.deadline;
+        self.enqueue(key);
+    }
+
+    /// Refuses a request and forgets it.
+    pub(crate) fn refuse(&mut self, now: Moment, key: RequestKey, code: RefusalCode) {
+        let Some(request) = self.requests.get(key) else { return };
+        let (pool, work) = (request.pool, request.ticket.work);
+        let refusal = self.refusal(now, pool, code, work);
+        self.forget(key);
+        self.outbox.push(Action::Refuse { request: key, refusal });
+    }
+
+    /// Forgets a request and cancels its attempts.
+    pub(crate) fn forget(&mut self, key: RequestKey) {
+        let Some(request) = self.requests.remove(key) else { return };
+        for attempt in &request.live {
+            self.cancel(*attempt);
+        }
+        let pool = &mut self.pools[request.pool];
+        if let Some(place) = request.place {
+            pool.lanes[request.ticket.class.index()].remove(place);
+        }
+        if request.stage != Stage::Running {
+            self.expiries.remove(&(request.give_up, key));
+        }
+        if request.stage == Stage::Queued && self.settings.policy == PolicyName::Own {
+            let queue = pool.queue(request.route);
+            queue.plan(request.plan).discount(&request.ticket);
+            queue.left();
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/state.rs
@@ -0,0 +1,111 @@
+//! Requests and attempts as the scheduler keeps them.
+
+use crate::action::Purpose;
+use crate::fleet::{PoolKey, Route};
+use crate::keys::{AttemptKey, EndpointKey, RequestKey};
+use crate::moment::Moment;
+use crate::queue::Ticket;
+use crate::request::{RequestFacts, Work};
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Stage {
+    /// It waits for an endpoint.
+    Queued,
+    /// Its prompt was processed, it waits for an engine that generates the answer.
+    Handoff,
+    /// Attempts are under way.
+    Running,
+}
+
+/// One request.
+#[derive(Debug)]
+pub(crate) struct Request {
+    pub(crate) facts: RequestFacts,
+    pub(crate) plan: usize,
+    pub(crate) pool: PoolKey,
+    pub(crate) route: Route,
+    pub(crate) ticket: Ticket,
+    pub(crate) stage: Stage,
+    /// When it is given up if it still waits.
+    pub(crate) give_up: Moment,
+    /// Attempts started, without those beside another.
+    pub(crate) attempts: u32,
+    pub(crate) live: Vec<AttemptKey>,
+    /// Output tokens that arrived in all.
+    pub(crate) tokens: u32,
+    pub(crate) first: Option<Moment>,
+    pub(crate) started: Moment,
+    /// Place in its lane.
+    pub(crate) place: Option<u64>,
+    /// Whether later requests got ahead of it.
+    pub(crate) behind: bool,
+    pub(crate) hedges: u32,
+}
+
+impl Request {
+    /// Prompt tokens; 0 for calls.
+    pub(crate) fn prompt(&self) -> u32 {
+        match &self.facts.work {
+            Work::Completion(work) => work.prompt_tokens,
+            Work::Call(_) => 0,
+        }
+    }
+
+    /// Greatest number of output tokens; 0 for calls.
+    pub(crate) fn output(&self) -> u32 {
+        match &self.facts.work {
+            Work::Completion(work) => work.max_tokens,
+            Work::Call(_) => 0,
+        }
+    }
+
+    /// Hashes of the prompt's blocks.
+    pub(crate) fn blocks(&self) -> &[u64] {
+        match &self.facts.work {
+            Work::Completion(work) => &work.blocks,
+            Work::Call(_) => &[],
+        }
+    }
+
+    /// Whether it may run more than once.
+    pub(crate) fn idempotent(&self) -> bool {
+        match self.facts.work {
+            Work::Completion(_) => true,
+            Work::Call(call) => call.idempotent,
+        }
+    }
+}
+
+/// One attempt of a request at an endpoint.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    pub(crate) request: RequestKey,
+    pub(crate) endpoint: EndpointKey,
+    pub(crate) purpose: Purpose,
+    pub(crate) started: Moment,
+    /// Output tokens that the caller already had at its start.
+    pub(crate) offset: u32,
+    pub(crate) tokens: u32,
+    /// Prompt tokens that it counts in the endpoint's backlog.
+    pub(crate) prefill: u32,
+    pub(crate) first: Option<Moment>,
+    /// Nominal time to the first token or the call's answer, in seconds.
+    pub(crate) expected: f64,
+    pub(crate) cancelled: bool,
+    /// Whether the endpoint had other prompts to process when its streaming was last looked at.
+    pub(crate) disturbed: bool,
+    /// Up to when its streaming was counted.
+    pub(crate) counted: Moment,
+    /// Tokens since then.
+    pub(crate) fresh: u32,
+    /// Budget taken for its output and not given back, in seconds of engine time.
+    pub(crate) charge: f64,
+}
+
+impl Attempt {
+    /// Output tokens of the answer that it has reached.
+    pub(crate) fn reached(&self) -> u32 {
+        self.offset + self.tokens
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/fake/mod.rs
@@ -0,0 +1,478 @@
+//! Engines and entries driven in virtual time, a small fake at the scheduler's interface.
+
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatestair_policy::{
+    Action, AttemptEnd, AttemptKey, Call, Completion, Moment, Purpose, Refusal, RequestFacts,
+    RequestKey, Scheduler, SchedulerSettings, ShareAllocator, ShareSettings, Work,
+};
+use agatestair_schema::link::{
+    DemandReport, EndpointKind, EndpointRole, EndpointState, EndpointView, FleetView,
+};
+use agatestair_schema::lists::{
+    Allowance, AllowancesList, Customer, Lists, Plan, PlansList, ServiceRule,
+};
+
+/// Length of one step of virtual time.
+pub const STEP: Duration = Duration::from_millis(2);
+
+/// Interval of load reports and share grants.
+pub const REPORT: Duration = Duration::from_millis(250);
+
+const PREFILL_US: f64 = 15.0;
+const STEP_US: f64 = 8_000.0;
+const SEQUENCE_US: f64 = 150.0;
+const MAX_BATCH: usize = 32;
+
+/// One plan for [`lists`].
+#[derive(Clone, Copy, Debug)]
+pub struct PlanCase {
+    pub name: &'static str,
+    pub priority: u32,
+    pub share: f64,
+    pub borrow: bool,
+}
+
+/// Lists with the given plans, which may use everything.
+pub fn lists(plans: &[PlanCase]) -> Arc<Lists> {
+    let plan = |case: &PlanCase| Plan {
+        name: case.name.to_owned(),
+        priority: case.priority,
+        first_ms: 1000,
+        token_ms: 71,
+        deadline_ms: 30_000,
+        objective: 0.99,
+    };
+    let allowance = |case: &PlanCase| Allowance {
+        plan: case.name.to_owned(),
+        services: vec!["models".into(), "ledger".into()],
+        models: vec!["m".into()],
+        fleet_share: case.share,
+        max_queue: 500,
+        borrow: case.borrow,
+    };
+    Arc::new(Lists {
+        revision: 1,
+        operator: "test".into(),
+        applied_ms: 0,
+        plans: PlansList {
+            plans: plans.iter().map(plan).collect(),
+            customers: Vec::<Customer>::new(),
+        },
+        allowances: AllowancesList {
+            allowances: plans.iter().map(allowance).collect(),
+            services: Vec::<ServiceRule>::new(),
+        },
+    })
+}
+
+/// A completion.
+pub fn completion(
+    plan: &str,
+    customer: &str,
+    prompt: u32,
+    output: u32,
+    end: Moment,
+) -> RequestFacts {
+    let work = Completion { prompt_tokens: prompt, max_tokens: output, blocks: Vec::new() };
+    RequestFacts {
+        customer: customer.into(),
+        plan: plan.into(),
+        service: "models".into(),
+        model: "m".into(),
+        deadline: end,
+        work: Work::Completion(work),
+    }
+}
+
+/// A call of the plain service.
+pub fn call(plan: &str, customer: &str, idempotent: bool, end: Moment) -> RequestFacts {
+    let work = Work::Call(Call { idempotent });
+    let facts = completion(plan, customer, 0, 0, end);
+    RequestFacts { service: "ledger".into(), model: "".into(), work, ..facts }
+}
+
+/// One endpoint's view.
+pub fn view(name: &str, kind: EndpointKind, role: EndpointRole) -> EndpointView {
+    let engine = kind == EndpointKind::Engine;
+    EndpointView {
+        name: name.into(),
+        service: if engine { "models".into() } else { "ledger".into() },
+        kind,
+        address: "127.0.0.1:1".into(),
+        domain: "yaba".into(),
+        state: EndpointState::Serving,
+        role,
+        changing: false,
+        report: 1,
+        age_ms: 0,
+        active: 0,
+        queued: 0,
+        prefill_backlog: 0,
+        decode_backlog: 0,
+        prefill_rate: 0.0,
+        decode_rate: 0.0,
+        kv_used: 0,
+        kv_total: 0,
+        models: if engine { vec!["m".into()] } else { Vec::new() },
+    }
+}
+
+#[derive(Debug)]
+struct Job {
+    entry: usize,
+    attempt: AttemptKey,
+    prompt: f64,
+    output: f64,
+    sent: u32,
+    purpose: Purpose,
+}
+
+/// One fake engine or service instance.
+#[derive(Debug)]
+pub struct FakeEndpoint {
+    pub view: EndpointView,
+    /// Factor by which it is slower than usual.
+    pub slow: f64,
+    /// What becomes of attempts sent to it, if not an answer.
+    pub fault: Option<AttemptEnd>,
+    jobs: Vec<Job>,
+}
+
+/// What became of one request.
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    pub plan: String,
+    pub submitted: Moment,
+    pub first: Option<Moment>,
+    pub done: Option<Moment>,
+    pub refused: Option<Refusal>,
+    pub withdrawn: bool,
+    /// Attempts that may have run.
+    pub ran: u32,
+    pub attempts: u32,
+    pub work: f64,
+}
+
+/// One fake entry with its scheduler.
+pub struct FakeEntry {
+    pub name: String,
+    pub scheduler: Scheduler,
+    pub alive: bool,
+    pub connected: bool,
+    pub records: HashMap<RequestKey, Record>,
+    running: BTreeMap<AttemptKey, RequestKey>,
+    /// Engine seconds dispatched by plan.
+    pub drawn: BTreeMap<String, f64>,
+}
+
+/// Entries and endpoints in virtual time.
+pub struct World {
+    pub now: Moment,
+    pub endpoints: Vec<FakeEndpoint>,
+    pub entries: Vec<FakeEntry>,
+    allocator: ShareAllocator,
+    reported: Moment,
+    /// Reports that are not yet delivered.
+    reports: VecDeque<(Moment, Vec<EndpointView>)>,
+    pub report_lag: Duration,
+    pub hedges: u32,
+    pub starts: u32,
+}
+
+impl World {
+    pub fn new(settings: &SchedulerSettings, lists: &Arc<Lists>, entries: usize) -> Self {
+        let entry = |index: usize| {
+            let seed = settings.seed + index as u64;
+            let mut scheduler = Scheduler::new(SchedulerSettings { seed, ..settings.clone() });
+            scheduler.set_lists(lists.clone());
+            FakeEntry {
+                name: format!("entry-{index}"),
+                scheduler,
+                alive: true,
+                connected: true,
+                records: HashMap::new(),
+                running: BTreeMap::new(),
+                drawn: BTreeMap::new(),
+            }
+        };
+        let entries: Vec<FakeEntry> = (0..entries).map(entry).collect();
+        let mut allocator = ShareAllocator::new(ShareSettings::default());
+        let names: Vec<&str> = entries.iter().map(|entry| entry.name.as_str()).collect();
+        allocator.set_entries(&names);
+        Self {
+            now: Moment(1_000_000),
+            endpoints: Vec::new(),
+            entries,
+            allocator,
+            reported: Moment::default(),
+            reports: VecDeque::new(),
+            report_lag: Duration::from_millis(250),
+            hedges: 0,
+            starts: 0,
+        }
+    }
+
+    /// Adds engines and instances of the plain service.
+    pub fn add(&mut self, engines: usize, role: EndpointRole, services: usize) {
+        let first = self.endpoints.len();
+        for index in 0..engines + services {
+            let kind = if index < engines { EndpointKind::Engine } else { EndpointKind::Service };
+            let name = format!("endpoint-{}", first + index);
+            let view = view(&name, kind, role);
+            self.endpoints.push(FakeEndpoint { view, slow: 1.0, fault: None, jobs: Vec::new() });
+        }
+        let engines = self.endpoints.iter().filter(|e| e.view.kind == EndpointKind::Engine);
+        self.allocator.set_engines(u32::try_from(engines.count()).unwrap_or(0));
+    }
+
+    /// Submits a request at an entry; returns its key if it was admitted.
+    pub fn submit(&mut self, entry: usize, facts: RequestFacts) -> Result<RequestKey, Refusal> {
+        let plan = facts.plan.to_string();
+        let work = match &facts.work {
+            Work::Completion(c) => {
+                f64::from(c.prompt_tokens) * PREFILL_US / 1e6 + f64::from(c.max_tokens) * 4e-4
+            }
+            Work::Call(_) => 0.0,
+        };
+        let key = self.entries[entry].scheduler.submit(self.now, facts)?;
+        let record = Record { plan, submitted: self.now, work, ..Record::default() };
+        self.entries[entry].records.insert(key, record);
+        Ok(key)
+    }
+
+    /// Withdraws a request.
+    pub fn withdraw(&mut self, entry: usize, key: RequestKey) {
+        let mut actions = Vec::new();
+        self.entries[entry].scheduler.withdraw(key, &mut actions);
+        if let Some(record) = self.entries[entry].records.get_mut(&key) {
+            if record.done.is_none() && record.refused.is_none() {
+                record.withdrawn = true;
+            }
+        }
+        self.carry_out(entry, actions);
+    }
+
+    /// Runs for a time.
+    pub fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs one step.
+    pub fn step(&mut self) {
+        self.now = self.now + STEP;
+        if self.now.since(self.reported) >= REPORT {
+            self.reported = self.now;
+            self.report();
+        }
+        for index in 0..self.endpoints.len() {
+            self.work_endpoint(index);
+        }
+        for entry in 0..self.entries.len() {
+            self.poll(entry);
+        }
+    }
+
+    /// Polls one entry.
+    pub fn poll(&mut self, entry: usize) {
+        if self.entries[entry].alive {
+            let mut actions = Vec::new();
+            self.entries[entry].scheduler.poll(self.now, &mut actions);
+            self.carry_out(entry, actions);
+        }
+    }
+
+    fn report(&mut self) {
+        let views = self.endpoints.iter_mut().map(FakeEndpoint::report).collect();
+        self.reports.push_back((self.now, views));
+        while self.reports.len() > 1 && self.now.since(self.reports[1].0) >= self.report_lag {
+            self.reports.pop_front();
+        }
+        let (made, mut endpoints) = self.reports[0].clone();
+        let age = u64::try_from(self.now.since(made).as_millis()).unwrap_or(0);
+        endpoints.iter_mut().for_each(|view| view.age_ms = age);
+        let fleet = FleetView { version: 1, endpoints };
+        for entry in self.entries.iter_mut().filter(|entry| entry.alive) {
+            entry.scheduler.set_fleet(self.now, &fleet);
+            let plans = entry.scheduler.take_demand(self.now);
+            let report = DemandReport { instance: entry.name.clone(), plans };
+            if entry.connected {
+                self.allocator.note_demand(self.now, &report);
+            }
+        }
+        for (name, grant) in self.allocator.allocate(self.now) {
+            let entry = self.entries.iter_mut().find(|entry| *entry.name == *name);
+            if let Some(entry) = entry.filter(|entry| entry.connected) {
+                entry.scheduler.set_shares(self.now, &grant);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, entry: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start { request, attempt, name, purpose, .. } => {
+                    self.start(entry, request, attempt, &name, purpose);
+                }
+                Action::Cancel { attempt } => {
+                    for endpoint in &mut self.endpoints {
+                        endpoint.jobs.retain(|job| (job.entry, job.attempt) != (entry, attempt));
+                    }
+                    self.end(entry, attempt, AttemptEnd::Cancelled);
+                }
+                Action::Refuse { request, refusal } => {
+                    if let Some(record) = self.entries[entry].records.get_mut(&request) {
+                        assert!(
+                            record.done.is_none() && !record.withdrawn,
+                            "refused after its end"
+                        );
+                        assert!(record.refused.is_none(), "refused twice");
+                        record.refused = Some(refusal);
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(
+        &mut self,
+        entry: usize,
+        request: RequestKey,
+        attempt: AttemptKey,
+        name: &str,
+        purpose: Purpose,
+    ) {
+        self.starts += 1;
+        self.hedges += u32::from(purpose == Purpose::Hedge);
+        let state = &mut self.entries[entry];
+        state.running.insert(attempt, request);
+        let Some(record) = state.records.get_mut(&request) else { return };
+        assert!(record.refused.is_none() && record.done.is_none(), "started after its end");
+        record.attempts += 1;
+        if purpose == Purpose::First {
+            *state.drawn.entry(record.plan.clone()).or_default() += record.work;
+        }
+        let size = sizes(record.work);
+        let endpoint = self.endpoints.iter_mut().find(|endpoint| endpoint.view.name == name);
+        let Some(endpoint) = endpoint else { return };
+        match endpoint.fault {
+            Some(AttemptEnd::NotRun) => self.end(entry, attempt, AttemptEnd::NotRun),
+            Some(fault) => {
+                record.ran += 1;
+                self.end(entry, attempt, fault);
+            }
+            None => {
+                record.ran += 1;
+                let job = Job { entry, attempt, prompt: size.0, output: size.1, sent: 0, purpose };
+                endpoint.jobs.push(job);
+            }
+        }
+    }
+
+    fn work_endpoint(&mut self, index: usize) {
+        let endpoint = &mut self.endpoints[index];
+        let events = endpoint.work();
+        for (entry, attempt, event) in events {
+            if !self.entries[entry].alive {
+                continue;
+            }
+            match event {
+                Event::Tokens(tokens) => self.piece(entry, attempt, tokens),
+                Event::Prefilled => {
+                    self.entries[entry].scheduler.note_prefilled(self.now, attempt);
+                    self.end(entry, attempt, AttemptEnd::Done);
+                }
+                Event::Done => self.end(entry, attempt, AttemptEnd::Done),
+            }
+        }
+    }
+
+    fn piece(&mut self, entry: usize, attempt: AttemptKey, tokens: u32) {
+        let state = &mut self.entries[entry];
+        state.scheduler.note_piece(self.now, attempt, tokens);
+        let request = state.running.get(&attempt).copied();
+        let record = request.and_then(|request| state.records.get_mut(&request));
+        if let Some(record) = record.filter(|record| record.first.is_none()) {
+            record.first = Some(self.now);
+        }
+    }
+
+    fn end(&mut self, entry: usize, attempt: AttemptKey, end: AttemptEnd) {
+        let state = &mut self.entries[entry];
+        let Some(request) = state.running.remove(&attempt) else { return };
+        let before = state.scheduler.open();
+        state.scheduler.note_end(self.now, attempt, end);
+        if state.scheduler.open() < before {
+            if let Some(record) = state.records.get_mut(&request) {
+                if end == AttemptEnd::Done {
+                    assert!(record.done.is_none() && record.refused.is_none(), "ended twice");
+                    record.done = Some(self.now);
+                }
+            }
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Tokens(u32),
+    Prefilled,
+    Done,
+}
+
+/// Prompt and output time of a job, both from its work: a fifth is taken to be output.
+fn sizes(work: f64) -> (f64, f64) {
+    (work * 0.5 * 1e6 / PREFILL_US, work * 0.5 / 4e-4)
+}
+
+impl FakeEndpoint {
+    fn report(&mut self) -> EndpointView {
+        self.view.report += 1;
+        let active = self.jobs.len().min(MAX_BATCH);
+        self.view.active = u32::try_from(active).unwrap_or(0);
+        self.view.queued = u32::try_from(self.jobs.len() - active).unwrap_or(0);
+        self.view.prefill_backlog = self.jobs.iter().map(|job| job.prompt as u64).sum();
+        self.view.decode_backlog = self.jobs.iter().map(|job| job.output as u64).sum();
+        self.view.clone()
+    }
+
+    /// Works for one step: half of the time on the first prompt, the rest on answers.
+    fn work(&mut self) -> Vec<(usize, AttemptKey, Event)> {
+        let mut events = Vec::new();
+        let mut left = STEP.as_secs_f64() * 1e6 / self.slow;
+        for job in self.jobs.iter_mut().take(MAX_BATCH) {
+            let spent = left.min(job.prompt * PREFILL_US);
+            job.prompt -= spent / PREFILL_US;
+            left -= spent;
+        }
+        let streaming = self.jobs.iter().take(MAX_BATCH).filter(|job| job.prompt < 0.5).count();
+        let tokens = left / (STEP_US + SEQUENCE_US * streaming as f64);
+        for job in self.jobs.iter_mut().take(MAX_BATCH).filter(|job| job.prompt < 0.5) {
+            if job.purpose == Purpose::Prefill {
+                events.push((job.entry, job.attempt, Event::Prefilled));
+                continue;
+            }
+            let before = job.output.ceil();
+            job.output -= tokens;
+            let sent = (before - job.output.max(0.0).ceil()) as u32;
+            if sent > 0 {
+                job.sent += sent;
+                events.push((job.entry, job.attempt, Event::Tokens(sent)));
+            }
+            if job.output <= 0.0 {
+                events.push((job.entry, job.attempt, Event::Done));
+            }
+        }
+        let ended =
+            |job: &Job| job.output <= 0.0 || (job.purpose == Purpose::Prefill && job.prompt < 0.5);
+        self.jobs.retain(|job| !ended(job));
+        events
+    }
+}
