--- a/crates/policy/tests/fake/mod.rs
+++ b/crates/policy/tests/fake/mod.rs
@@ -249,10 +249,11 @@
     pub fn withdraw(&mut self, entry: usize, key: RequestKey) {
         let mut actions = Vec::new();
         self.entries[entry].scheduler.withdraw(key, &mut actions);
-        if let Some(record) = self.entries[entry].records.get_mut(&key) {
-            if record.done.is_none() && record.refused.is_none() {
-                record.withdrawn = true;
-            }
+        if let Some(record) = self.entries[entry].records.get_mut(&key)
+            && record.done.is_none()
+            && record.refused.is_none()
+        {
+            record.withdrawn = true;
         }
         self.carry_out(entry, actions);
     }
@@ -409,13 +410,12 @@
         let Some(request) = state.running.remove(&attempt) else { return };
         let before = state.scheduler.open();
         state.scheduler.note_end(self.now, attempt, end);
-        if state.scheduler.open() < before {
-            if let Some(record) = state.records.get_mut(&request) {
-                if end == AttemptEnd::Done {
-                    assert!(record.done.is_none() && record.refused.is_none(), "ended twice");
-                    record.done = Some(self.now);
-                }
-            }
+        if state.scheduler.open() < before
+            && let Some(record) = state.records.get_mut(&request)
+            && end == AttemptEnd::Done
+        {
+            assert!(record.done.is_none() && record.refused.is_none(), "ended twice");
+            record.done = Some(self.now);
         }
     }
 }
