--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -8,7 +8,9 @@
 mod answer;
 mod samples;
 
-pub use answer::{answer_text, answer_token, chat_prompt, count_tokens, prefix_blocks};
+pub use answer::{
+    BYTES_PER_TOKEN, answer_text, answer_token, chat_prompt, count_tokens, prefix_blocks,
+};
 pub use samples::push_sample;
 
 /// Declares a module of generated types.
