--- a/crates/codegen/src/main.rs
+++ b/crates/codegen/src/main.rs
@@ -18,7 +18,7 @@
     binary: bool,
 }
 
-const MODULES: [Module; 9] = [
+const MODULES: [Module; 10] = [
     Module { name: "caller", binary: false },
     Module { name: "endpoint", binary: false },
     Module { name: "link", binary: true },
@@ -27,6 +27,7 @@
     Module { name: "settings", binary: false },
     Module { name: "slo", binary: false },
     Module { name: "standins", binary: false },
+    Module { name: "status", binary: false },
     Module { name: "testbed", binary: false },
 ];
 
--- /dev/null
+++ b/crates/control/src/control/platform.rs
@@ -0,0 +1,177 @@
+//! The platform's instance list, the lists and the wishes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use agatestair_platform::PlatformError;
+use agatestair_policy::Moment;
+use agatestair_runtime::log_event;
+use agatestair_schema::link::{LinkMessage, Presence};
+use agatestair_schema::lists::{EndpointWish, Lists};
+use agatestair_schema::platform::{InstanceKind, InstanceRecord, InstanceState};
+
+use super::Control;
+use crate::event::Event;
+use crate::events::{LISTS_IN_FORCE, STORE_BACK, STORE_FAILED};
+use crate::lists::Offer;
+use crate::peers::dial_targets;
+use crate::store::{read_lists, read_wishes};
+
+impl Control {
+    /// Starts the reads that are due.
+    pub(super) fn read_platform(&mut self, now: Moment) {
+        if self.timers.instances.begin(now) {
+            let directory = self.platform.instances();
+            self.lanes.instances.run(move || Event::Instances(directory.list()));
+        }
+        if self.timers.lists.begin(now) {
+            let platform = self.platform.clone();
+            self.lanes.lists.run(move || Event::Lists(read_lists(&platform)));
+        }
+        if self.timers.wishes.begin(now) {
+            let platform = self.platform.clone();
+            self.lanes.wishes.run(move || Event::Wishes(read_wishes(&platform)));
+        }
+        let changed = self.registered != Some(self.presence());
+        if changed && self.timers.register.begin(now) {
+            self.register();
+        }
+    }
+
+    /// Tells the platform the state of this instance.
+    fn register(&mut self) {
+        let record = self.own_record();
+        let directory = self.platform.instances();
+        self.lanes.instances.run(move || Event::Registered(directory.register(&record)));
+        self.registered = Some(self.presence());
+    }
+
+    fn own_record(&self) -> InstanceRecord {
+        let state = match self.presence() {
+            Presence::Live => InstanceState::Live,
+            Presence::Leaving => InstanceState::Leaving,
+        };
+        InstanceRecord {
+            address: self.settings.entry.clone(),
+            boot: self.boot.to_string(),
+            control: Some(self.settings.listen.clone()),
+            domain: self.settings.instance.domain.clone(),
+            kind: InstanceKind::Entry,
+            name: self.own.to_string(),
+            region: self.settings.instance.region.clone(),
+            service: String::new(),
+            state,
+        }
+    }
+
+    pub(super) fn on_registered(&mut self, now: Moment, result: &Result<(), PlatformError>) {
+        self.timers.register.end();
+        if let Err(error) = result {
+            self.registered = None;
+            self.note_failure("register", error);
+        } else {
+            self.note_answer(now);
+        }
+    }
+
+    pub(super) fn on_instances(
+        &mut self,
+        now: Moment,
+        result: Result<Vec<InstanceRecord>, PlatformError>,
+    ) {
+        self.timers.instances.end();
+        match result {
+            Ok(records) => {
+                self.note_answer(now);
+                self.members.note_list(now, &records);
+                self.fleet.note_list(now, &records);
+                self.shares.set_entries(&self.members.listed());
+                self.dial_peers();
+            }
+            Err(error) => self.note_failure("instances", &error),
+        }
+    }
+
+    fn dial_peers(&mut self) {
+        let names = self.members.listed();
+        let mut wanted: BTreeMap<Arc<str>, SocketAddr> = BTreeMap::new();
+        for name in dial_targets(&self.own, &names) {
+            let record = self.members.get(&name).and_then(|seen| seen.record.as_ref());
+            let address = record.and_then(|r| r.control.as_deref()).and_then(|a| a.parse().ok());
+            if let Some(address) = address {
+                wanted.insert(name, address);
+            }
+        }
+        self.peers.set_dialled(wanted);
+    }
+
+    pub(super) fn on_lists(
+        &mut self,
+        now: Moment,
+        result: Result<Option<(Lists, String)>, PlatformError>,
+    ) {
+        self.timers.lists.end();
+        match result {
+            Ok(read) => {
+                self.note_answer(now);
+                self.lists.note_store(now);
+                if let Some((lists, text)) = read {
+                    self.offer_lists(now, lists, &text, "store");
+                }
+            }
+            Err(error) => self.note_failure("lists", &error),
+        }
+    }
+
+    /// Takes over lists from the store or a peer, and passes newer ones on.
+    pub(super) fn offer_lists(&mut self, now: Moment, lists: Lists, text: &str, source: &str) {
+        let revision = lists.revision;
+        match self.lists.offer(lists, text) {
+            Offer::Accepted => {
+                log_event!(self.log, LISTS_IN_FORCE, "revision" => revision, "source" => source);
+                metrics::gauge!("agatestair_lists_revision").set(revision as f64);
+                self.lists.confirm(now);
+                if let Some(push) = self.lists.push() {
+                    self.peers.broadcast(&LinkMessage::Lists(push));
+                }
+                self.push_lists();
+                self.timers.beat.hasten();
+            }
+            Offer::Same => self.lists.confirm(now),
+            Offer::Older => {}
+        }
+    }
+
+    pub(super) fn on_wishes(
+        &mut self,
+        now: Moment,
+        result: Result<Vec<EndpointWish>, PlatformError>,
+    ) {
+        self.timers.wishes.end();
+        match result {
+            Ok(wishes) => {
+                self.note_answer(now);
+                self.fleet.note_wishes(&wishes);
+            }
+            Err(error) => self.note_failure("wishes", &error),
+        }
+    }
+
+    /// Notes an answer of the platform.
+    pub(super) fn note_answer(&mut self, now: Moment) {
+        self.store_ok = Some(now);
+        if self.store_down {
+            self.store_down = false;
+            log_event!(self.log, STORE_BACK);
+        }
+    }
+
+    /// Notes a failed call of the platform; only the first of a row is logged.
+    pub(super) fn note_failure(&mut self, call: &'static str, error: &PlatformError) {
+        if !self.store_down {
+            self.store_down = true;
+            log_event!(self.log, STORE_FAILED, "call" => call, "error" => error.to_string());
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/control/report.rs
@@ -0,0 +1,123 @@
+//! Status for operators.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatestair_policy::Moment;
+use agatestair_policy::assign::owner;
+use agatestair_schema::link::Presence;
+use agatestair_schema::lists::WishState;
+
+use super::Control;
+use crate::fleet::Known;
+use crate::members::Seen;
+use crate::status::{EndpointStatus, InstanceStatus, StatusReport};
+
+impl Control {
+    /// What this instance knows now.
+    pub(super) fn status(&self, now: Moment) -> StatusReport {
+        let live = self.members.live(now);
+        let mut instances = vec![self.own_status()];
+        instances.extend(self.members.peers().map(|(name, seen)| peer_status(now, name, seen)));
+        StatusReport {
+            boot: self.boot.to_string(),
+            endpoints: self
+                .fleet
+                .iter()
+                .map(|(name, known)| self.endpoint_status(now, name, known, &live))
+                .collect(),
+            entry: self.entry.link.is_some(),
+            fresh: self.fresh,
+            instance: self.own.to_string(),
+            instances,
+            leases: Vec::new(),
+            lists_age: age_ms(now, self.lists.confirmed()),
+            revision: self.lists.revision(),
+            store_age: age_ms(now, self.store_ok),
+        }
+    }
+
+    fn own_status(&self) -> InstanceStatus {
+        InstanceStatus {
+            address: self.settings.entry.clone(),
+            admin: self.settings.admin.clone(),
+            age_ms: 0,
+            boot: self.boot.to_string(),
+            domain: self.settings.instance.domain.clone(),
+            listed: String::new(),
+            name: self.own.to_string(),
+            open: self.entry.open(),
+            presence: presence_name(self.presence()).to_owned(),
+            region: self.settings.instance.region.clone(),
+            revision: self.lists.revision(),
+        }
+    }
+
+    fn endpoint_status(
+        &self,
+        now: Moment,
+        name: &str,
+        known: &Known,
+        live: &[Arc<str>],
+    ) -> EndpointStatus {
+        let wish = known.wish.as_ref().map_or(WishState::Serve, |wish| wish.state);
+        let collector = owner(name, live).map_or("", |index| &*live[index]);
+        let view = self.fleet.view(now, known);
+        EndpointStatus {
+            active: view.active,
+            address: view.address,
+            age_ms: view.age_ms,
+            changing: view.changing,
+            collector: collector.to_owned(),
+            domain: view.domain,
+            kind: view.kind.to_string(),
+            models: view.models,
+            name: view.name,
+            order: String::new(),
+            queued: view.queued,
+            role: view.role.to_string(),
+            service: view.service,
+            shard: 0,
+            state: view.state.to_string(),
+            wish: wish.to_string(),
+        }
+    }
+}
+
+fn peer_status(now: Moment, name: &str, seen: &Seen) -> InstanceStatus {
+    let beat = seen.beat.as_ref();
+    let record = seen.record.as_ref();
+    let presence = match beat {
+        Some(beat) if seen.is_heard(now) => presence_name(beat.presence),
+        Some(_) => "silent",
+        None => "listed",
+    };
+    let text = |from_beat: Option<&String>, from_record: Option<&String>| {
+        from_beat.or(from_record).cloned().unwrap_or_default()
+    };
+    InstanceStatus {
+        address: text(beat.map(|b| &b.address), record.map(|r| &r.address)),
+        admin: String::new(),
+        age_ms: age_ms(now, seen.heard),
+        boot: text(beat.map(|b| &b.boot), record.map(|r| &r.boot)),
+        domain: text(beat.map(|b| &b.domain), record.map(|r| &r.domain)),
+        listed: record.map(|r| r.state.to_string()).unwrap_or_default(),
+        name: name.to_owned(),
+        open: beat.map_or(0, |b| b.open),
+        presence: presence.to_owned(),
+        region: text(beat.map(|b| &b.region), record.map(|r| &r.region)),
+        revision: beat.map_or(0, |b| b.revision),
+    }
+}
+
+fn presence_name(presence: Presence) -> &'static str {
+    match presence {
+        Presence::Live => "live",
+        Presence::Leaving => "leaving",
+    }
+}
+
+fn age_ms(now: Moment, at: Option<Moment>) -> u64 {
+    let age = at.map_or(Duration::MAX, |at| now.since(at));
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/control/src/members.rs
@@ -0,0 +1,175 @@
+//! Instances of the deployment: the platform's lagging list corrected by heartbeats.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatestair_policy::Moment;
+use agatestair_schema::link::{EntryRecord, Heartbeat, Presence};
+use agatestair_schema::platform::{InstanceKind, InstanceRecord, InstanceState};
+
+/// Time without a heartbeat after which an instance counts as away.
+const SILENT_AFTER: Duration = Duration::from_millis(2500);
+/// Time that an instance listed as live, but never heard of, counts as live.
+const GRACE: Duration = Duration::from_secs(3);
+
+/// What is known of one instance.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// Record in the platform's list, if listed.
+    pub record: Option<InstanceRecord>,
+    /// Last heartbeat.
+    pub beat: Option<Heartbeat>,
+    /// When the last heartbeat came.
+    pub heard: Option<Moment>,
+    /// When it was first known.
+    pub since: Moment,
+}
+
+/// All known entry instances but this one.
+#[derive(Default)]
+pub struct Members {
+    peers: BTreeMap<Arc<str>, Seen>,
+    own: Arc<str>,
+}
+
+impl Members {
+    /// Knows nobody but `own`.
+    pub fn new(own: Arc<str>) -> Self {
+        Self { peers: BTreeMap::new(), own }
+    }
+
+    /// Takes over the platform's list.
+    pub fn note_list(&mut self, now: Moment, records: &[InstanceRecord]) {
+        for seen in self.peers.values_mut() {
+            seen.record = None;
+        }
+        let own = self.own.clone();
+        let entries = records.iter().filter(|record| record.kind == InstanceKind::Entry);
+        for record in entries.filter(|record| record.name != *own) {
+            self.peer(now, &record.name).record = Some(record.clone());
+        }
+        self.peers.retain(|_, seen| {
+            let heard = seen.heard.is_some_and(|heard| now.since(heard) < SILENT_AFTER);
+            seen.record.is_some() || heard
+        });
+    }
+
+    /// Takes over a heartbeat.
+    pub fn note_beat(&mut self, now: Moment, beat: Heartbeat) {
+        let peer = self.peer(now, &beat.instance);
+        peer.heard = Some(now);
+        peer.beat = Some(beat);
+    }
+
+    /// Notes that the link to an instance ended.
+    pub fn note_down(&mut self, instance: &str) {
+        if let Some(seen) = self.peers.get_mut(instance) {
+            seen.heard = None;
+        }
+    }
+
+    fn peer(&mut self, now: Moment, name: &str) -> &mut Seen {
+        self.peers.entry(name.into()).or_insert_with(|| Seen {
+            record: None,
+            beat: None,
+            heard: None,
+            since: now,
+        })
+    }
+
+    /// All known peers by name.
+    pub fn peers(&self) -> impl Iterator<Item = (&Arc<str>, &Seen)> {
+        self.peers.iter()
+    }
+
+    /// What is known of one peer.
+    pub fn get(&self, name: &str) -> Option<&Seen> {
+        self.peers.get(name)
+    }
+
+    /// Names of the instances that work is spread over, in order, this one included.
+    pub fn live(&self, now: Moment) -> Vec<Arc<str>> {
+        let mut live: Vec<Arc<str>> = self
+            .peers
+            .iter()
+            .filter(|(_, seen)| seen.is_live(now))
+            .map(|(name, _)| name.clone())
+            .collect();
+        live.push(self.own.clone());
+        live.sort_unstable();
+        live
+    }
+
+    /// Names of the entries listed as live or leaving, in order, this one included.
+    pub fn listed(&self) -> Vec<Arc<str>> {
+        let is_listed = |seen: &Seen| {
+            let state = seen.record.as_ref().map(|record| record.state);
+            state.is_some_and(|state| state != InstanceState::Gone)
+        };
+        let mut names: Vec<Arc<str>> =
+            self.peers.iter().filter(|(_, s)| is_listed(s)).map(|(n, _)| n.clone()).collect();
+        names.push(self.own.clone());
+        names.sort_unstable();
+        names
+    }
+
+    /// Whether any peer was heard of lately.
+    pub fn has_contact(&self, now: Moment) -> bool {
+        self.peers.values().any(|seen| seen.is_heard(now))
+    }
+
+    /// Entries that callers may be told of, this one left out.
+    ///
+    /// Without contact to any peer the platform's list decides alone.
+    pub fn directory(&self, now: Moment) -> Vec<EntryRecord> {
+        let contact = self.has_contact(now);
+        self.peers.values().filter_map(|seen| seen.entry(now, contact)).collect()
+    }
+
+    /// Whether the platform lists this run of an instance as gone.
+    pub fn is_gone(&self, name: &str, boot: &str) -> bool {
+        let record = self.peers.get(name).and_then(|seen| seen.record.as_ref());
+        record.is_some_and(|record| {
+            let other = !record.boot.is_empty() && record.boot != boot;
+            record.state == InstanceState::Gone || other
+        })
+    }
+}
+
+impl Seen {
+    /// Whether a heartbeat came lately.
+    pub fn is_heard(&self, now: Moment) -> bool {
+        self.heard.is_some_and(|heard| now.since(heard) < SILENT_AFTER)
+    }
+
+    /// Whether work may be given to the instance.
+    pub fn is_live(&self, now: Moment) -> bool {
+        if self.is_heard(now) {
+            return self.beat.as_ref().is_some_and(|beat| beat.presence == Presence::Live);
+        }
+        let listed = self.record.as_ref().is_some_and(|r| r.state == InstanceState::Live);
+        listed && self.beat.is_none() && now.since(self.since) < GRACE
+    }
+
+    fn entry(&self, now: Moment, contact: bool) -> Option<EntryRecord> {
+        if self.is_heard(now) {
+            let beat = self.beat.as_ref()?;
+            return (beat.presence == Presence::Live).then(|| EntryRecord {
+                address: beat.address.clone(),
+                domain: beat.domain.clone(),
+                name: beat.instance.clone(),
+                region: beat.region.clone(),
+            });
+        }
+        let record = self.record.as_ref()?;
+        let usable = record.state == InstanceState::Live
+            && (!contact || (self.beat.is_none() && now.since(self.since) < GRACE));
+        usable.then(|| EntryRecord {
+            address: record.address.clone(),
+            domain: record.domain.clone(),
+            name: record.name.clone(),
+            region: record.region.clone(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/control/src/process.rs
@@ -0,0 +1,126 @@
+//! Start and end of the process.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use agatestair_link::{LinkNode, NodeSettings, PeerRole};
+use agatestair_runtime::{EventLoop, MetricsHandle, cancel_on_signal, install_metrics, open_log};
+use agatestair_schema::settings::{ControlSettings, LinkSettings};
+use error_stack::{Report, ResultExt};
+use stakker::sync::Channel;
+use stakker::{StopCause, actor, ret_shutdown};
+use tokio_util::sync::CancellationToken;
+
+use crate::admin::start_admin;
+use crate::clock::unix_ms;
+use crate::control::{Control, ControlParts};
+use crate::event::Event;
+use crate::peers::Peers;
+
+/// Why the process could not run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ControlError {
+    /// The metrics recorder could not be installed.
+    Metrics,
+    /// The signal handlers could not be set.
+    Signals,
+    /// An address could not be listened on, or a thread could not be started.
+    Start,
+}
+
+impl fmt::Display for ControlError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Metrics => "cannot install the metrics recorder; report this as a defect",
+            Self::Signals => "cannot set the signal handlers; report this as a defect",
+            Self::Start => {
+                "cannot start; check that `listen` and `admin` are free addresses of this machine"
+            }
+        })
+    }
+}
+
+impl std::error::Error for ControlError {}
+
+/// Runs the process until it is asked to end.
+///
+/// # Errors
+///
+/// [`ControlError`] if it could not start.
+pub fn run(settings: ControlSettings) -> Result<(), Report<ControlError>> {
+    let metrics = install_metrics().change_context(ControlError::Metrics)?;
+    let stop = CancellationToken::new();
+    cancel_on_signal(&stop).change_context(ControlError::Signals)?;
+    let links = CancellationToken::new();
+    let mut event_loop = EventLoop::new();
+    let stakker = &mut event_loop.stakker;
+    let start = {
+        let links = links.clone();
+        move |events: Channel<Event>| start_parts(settings, &events, &links, &stop, &metrics)
+    };
+    let control = actor!(stakker, Control::init(start), ret_shutdown!(stakker));
+    event_loop.run(&CancellationToken::new());
+    links.cancel();
+    drop(control);
+    match event_loop.stakker.shutdown_reason() {
+        Some(StopCause::Failed(error)) => {
+            Err(Report::new(ControlError::Start).attach(error.to_string()))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn start_parts(
+    settings: ControlSettings,
+    events: &Channel<Event>,
+    links: &CancellationToken,
+    stop: &CancellationToken,
+    metrics: &MetricsHandle,
+) -> io::Result<ControlParts> {
+    let log = open_log(settings.log.as_ref(), "control", &settings.instance.name);
+    let boot: Arc<str> = format!("{:013}-{:08x}", unix_ms(), rand::random::<u32>()).into();
+    let node_settings = NodeSettings {
+        instance: settings.instance.name.as_str().into(),
+        domain: settings.instance.domain.as_str().into(),
+        boot: boot.clone(),
+        role: PeerRole::Control,
+        listen: Some(address_of(&settings.listen)?),
+        link: settings.link.clone().unwrap_or_else(default_link),
+        log: log.clone(),
+    };
+    let sink = events.clone();
+    let node = LinkNode::start(node_settings, links.clone(), move |event| {
+        // The actor has ended if this fails.
+        let _ = sink.send(Event::Link(event));
+    })?;
+    if !settings.admin.is_empty() {
+        start_admin(address_of(&settings.admin)?, events, metrics)?;
+    }
+    watch_stop(stop.clone(), events.clone())?;
+    Ok(ControlParts { settings, boot, peers: Peers::new(node), log })
+}
+
+/// Passes cancellation on to the actor.
+fn watch_stop(stop: CancellationToken, events: Channel<Event>) -> io::Result<()> {
+    let wait = async move { stop.cancelled_owned().await };
+    let runtime = tokio::runtime::Builder::new_current_thread().build()?;
+    thread::Builder::new().name("stop".to_owned()).spawn(move || {
+        runtime.block_on(wait);
+        events.send(Event::Stop);
+    })?;
+    Ok(())
+}
+
+fn address_of(text: &str) -> io::Result<SocketAddr> {
+    text.parse().map_err(|_| {
+        let problem = format!("`{text}` is not an address; give `IP:port`");
+        io::Error::new(io::ErrorKind::InvalidInput, problem)
+    })
+}
+
+fn default_link() -> LinkSettings {
+    serde_json::from_str("{}").expect("all link settings have defaults")
+}
--- /dev/null
+++ b/crates/control/src/status.rs
@@ -0,0 +1,3 @@
+//! Status for operators.
+
+pub use agatestair_schema::status::{EndpointStatus, InstanceStatus, StatusReport};
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -64,6 +64,10 @@
     /// Records and control interface of the stand-ins.
     standins, "generated/standins.rs", STANDINS_SCHEMA, "../schemas/standins.schema.json"
 );
+generated!(
+    /// Status of a deployment.
+    status, "generated/status.rs", STATUS_SCHEMA, "../schemas/status.schema.json"
+);
 
 /// Highest version of the link messages that this build speaks.
 pub const LINK_VERSION: u32 = 1;
