--- a/crates/control/src/control/links.rs
+++ b/crates/control/src/control/links.rs
@@ -100,10 +100,10 @@
     /// Takes over a peer's heartbeat and hands it the lists if its own are older.
     fn on_beat(&mut self, now: Moment, link: LinkKey, beat: Heartbeat) {
         let revision = beat.revision;
-        let was_live = self.members.get(&beat.instance).is_some_and(|seen| seen.is_live(now));
-        let is_live = beat.presence == Presence::Live;
+        let before = self.members.get(&beat.instance).and_then(|seen| seen.beat.as_ref());
+        let changed = before.map(|before| before.presence) != Some(beat.presence);
         self.members.note_beat(now, beat);
-        if was_live != is_live {
+        if changed {
             self.timers.refresh.hasten();
         }
         self.lists.note_peer(now);
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -20,7 +20,7 @@
         /// Control process beside an entry: collects load, holds leases, follows the two lists.
         cmd agatestair-control {
             /// Settings file, JSON with comments.
-            required settings: PathBuf
+            required --config config: PathBuf
             /// Check the settings, print every fault and end.
             optional --check-config
             /// Print the settings with their defaults and end.
@@ -31,7 +31,7 @@
 
 fn main() -> ExitCode {
     let flags = flags::AgatestairControl::from_env_or_exit();
-    let settings = match load(&flags.settings) {
+    let settings = match load(&flags.config) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}");
@@ -42,7 +42,7 @@
         return print_settings(&settings);
     }
     if flags.check_config {
-        println!("{}: no faults", flags.settings.display());
+        println!("{}: no faults", flags.config.display());
         return ExitCode::SUCCESS;
     }
     match run(settings) {
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -101,6 +101,21 @@
         live
     }
 
+    /// Names of the instances that leases are spread over, in order.
+    ///
+    /// These are the live ones that say that they stay, or all live ones if none does.
+    pub fn staying(&self, now: Moment, own: Presence) -> Vec<Arc<str>> {
+        let stays = |name: &Arc<str>| {
+            let seen = self.peers.get(name);
+            let beat = seen.and_then(|seen| seen.beat.as_ref());
+            let presence = if seen.is_none() { Some(own) } else { beat.map(|beat| beat.presence) };
+            presence != Some(Presence::Leaving)
+        };
+        let live = self.live(now);
+        let staying: Vec<Arc<str>> = live.iter().filter(|name| stays(name)).cloned().collect();
+        if staying.is_empty() { live } else { staying }
+    }
+
     /// Names of the entries listed as live or leaving, in order, this one included.
     pub fn listed(&self) -> Vec<Arc<str>> {
         let is_listed = |seen: &Seen| {
@@ -143,10 +158,10 @@
         self.heard.is_some_and(|heard| now.since(heard) < SILENT_AFTER)
     }
 
-    /// Whether work may be given to the instance.
+    /// Whether its control process is up.
     pub fn is_live(&self, now: Moment) -> bool {
         if self.is_heard(now) {
-            return self.beat.as_ref().is_some_and(|beat| beat.presence == Presence::Live);
+            return true;
         }
         let listed = self.record.as_ref().is_some_and(|r| r.state == InstanceState::Live);
         listed && self.beat.is_none() && now.since(self.since) < GRACE
