--- a/crates/control/src/control/links.rs
+++ b/crates/control/src/control/links.rs
@@ -5,7 +5,7 @@
 use agatestair_link::{LinkEvent, LinkKey, Peer, PeerRole};
 use agatestair_policy::Moment;
 use agatestair_runtime::log_event;
-use agatestair_schema::link::{DemandReport, Heartbeat, LinkMessage, ListsPush, Presence};
+use agatestair_schema::link::{DemandReport, Heartbeat, LinkMessage, ListsPush};
 use agatestair_schema::lists::Lists;
 
 use super::Control;
