--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -59,6 +59,8 @@
         address: Arc<str>,
         /// What for.
         purpose: Purpose,
+        /// Scheduling priority at an engine; a higher value is served first.
+        priority: u32,
     },
     /// Cancel an attempt; its end is still to be noted.
     Cancel {
--- a/crates/policy/src/fleet/endpoint.rs
+++ b/crates/policy/src/fleet/endpoint.rs
@@ -108,6 +108,11 @@
         self.view.kind == EndpointKind::Engine && self.view.role == EndpointRole::Prefill
     }
 
+    /// Whether it takes only answers whose prompt was processed elsewhere, or short prompts.
+    pub(crate) fn decode_only(&self) -> bool {
+        self.view.kind == EndpointKind::Engine && self.view.role == EndpointRole::Decode
+    }
+
     /// Time until it has processed the prompts sent so far, in microseconds.
     pub(crate) fn backlog_us(&self, now: Moment, model: &EngineModel) -> f64 {
         let others = self.busy_until.since(now).as_micros() as f64;
--- a/crates/policy/src/fleet/pool.rs
+++ b/crates/policy/src/fleet/pool.rs
@@ -34,8 +34,10 @@
     pub(crate) whole: KeySet,
     /// Prefill engines with room.
     pub(crate) prefill: KeySet,
-    /// Endpoints that serve whole requests, with room or not.
+    /// Endpoints that serve and are not prefill engines, with room or not.
     pub(crate) whole_count: u32,
+    /// Endpoints that serve whole requests of any size, with room or not.
+    pub(crate) mixed_count: u32,
     /// Prefill engines that serve, with room or not.
     pub(crate) prefill_count: u32,
     /// Requests that wait for any endpoint.
@@ -62,6 +64,7 @@
             whole: KeySet::default(),
             prefill: KeySet::default(),
             whole_count: 0,
+            mixed_count: 0,
             prefill_count: 0,
             queue: PoolQueue::default(),
             split: PoolQueue::default(),
--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -1,6 +1,7 @@
 //! Which request goes next, and the start of attempts.
 
 use agatestair_schema::link::EndpointKind;
+use agatestair_schema::settings::PolicyName;
 
 use crate::action::{Action, Purpose, RefusalCode};
 use crate::fleet::{PoolKey, Route};
@@ -12,6 +13,7 @@
 use crate::scheduler::place::{Choice, Part};
 use crate::scheduler::state::{Attempt, Stage};
 use crate::shares::KindSplit;
+use crate::size::CLASSES;
 
 /// A request whose turn it is.
 #[derive(Clone, Copy, Debug)]
@@ -28,8 +30,8 @@
         let pools: Vec<PoolKey> = self.pools.keys().collect();
         for pool in pools {
             self.dispatch_handoffs(now, pool);
-            self.dispatch_route(now, pool, Route::Split);
             self.dispatch_route(now, pool, Route::Whole);
+            self.dispatch_route(now, pool, Route::Split);
             let pool = &mut self.pools[pool];
             let waiting = pool.queue.count() + pool.split.count() > 0;
             pool.drain.advance(now, waiting);
@@ -90,8 +92,12 @@
             let Some(turn) = self.next_turn(now, pool, route) else { return };
             let key = turn.ticket.request;
             let Some(choice) = self.choose(now, key, part) else {
+                let stuck = self.reroute(key, pool, route);
                 self.enqueue(key);
-                return;
+                if stuck {
+                    return;
+                }
+                continue;
             };
             self.draw(key, choice, turn.within);
             let purpose = match part {
@@ -103,17 +109,27 @@
         }
     }
 
+    /// Sends a request that no endpoint with room can serve whole by way of the prefill engines;
+    /// returns whether there are none.
+    fn reroute(&mut self, key: RequestKey, pool: PoolKey, route: Route) -> bool {
+        let split = route == Route::Whole && self.pools[pool].prefill_count > 0;
+        if split {
+            self.requests[key].route = Route::Split;
+        }
+        !split
+    }
+
     /// What the next request of a route can be asked for, if any endpoint has room.
     fn open_part(&self, pool: PoolKey, route: Route) -> Option<Part> {
         let pool = &self.pools[pool];
         let whole = !pool.whole.is_empty();
         match route {
-            Route::Whole if whole => Some(Part::Whole),
-            Route::Whole if pool.whole_count == 0 && !pool.prefill.is_empty() => Some(Part::Whole),
-            Route::Whole => None,
-            Route::Split if !pool.prefill.is_empty() && pool.whole_count > 0 => Some(Part::Prompt),
-            Route::Split if pool.whole_count == 0 && !pool.prefill.is_empty() => Some(Part::Whole),
-            Route::Split if whole && pool.queue.count() == 0 => Some(Part::Whole),
+            Route::Whole => whole.then_some(Part::Whole),
+            Route::Split if !pool.prefill.is_empty() => Some(Part::Prompt),
+            Route::Split if pool.prefill_count == 0 && whole => Some(Part::Whole),
+            Route::Split if pool.mixed_count > 0 && whole && pool.queue.count() == 0 => {
+                Some(Part::Whole)
+            }
             Route::Split => None,
         }
     }
@@ -202,6 +218,7 @@
             budgets.retry.earn(1.0);
             budgets.hedge.earn(work);
         }
+        let priority = self.engine_priority(key);
         let endpoint = &mut self.endpoints[choice.endpoint];
         endpoint.open += 1;
         endpoint.prefill += u64::from(choice.uncached);
@@ -213,10 +230,23 @@
             name: endpoint.name.clone(),
             address: endpoint.address.clone(),
             purpose,
+            priority,
         });
         self.refresh(now, choice.endpoint);
     }
 
+    /// Priority at the engine: that of the plan, and within a plan the shorter first.
+    fn engine_priority(&self, key: RequestKey) -> u32 {
+        let request = &self.requests[key];
+        let plan = self.plans.plan(request.plan).priority;
+        if self.settings.policy != PolicyName::Own {
+            return plan;
+        }
+        let classes = u32::try_from(CLASSES).unwrap_or(u32::MAX);
+        let class = u32::try_from(request.ticket.class.index()).unwrap_or(0);
+        plan.saturating_mul(classes).saturating_add(classes - 1 - class)
+    }
+
     /// Refuses waiting requests whose time is over.
     pub(crate) fn give_up_expired(&mut self, now: Moment) {
         while let Some((at, key)) = self.expiries.first().copied() {
--- a/crates/policy/src/scheduler/fleet_update.rs
+++ b/crates/policy/src/scheduler/fleet_update.rs
@@ -122,6 +122,8 @@
             let serving = pool.members.iter().map(|key| &self.endpoints[*key]);
             let serving: Vec<&Endpoint> = serving.filter(|e| e.serving()).collect();
             let prefill = serving.iter().filter(|e| e.prefill_only()).count();
+            let mixed = serving.iter().filter(|e| !e.prefill_only() && !e.decode_only()).count();
+            pool.mixed_count = u32::try_from(mixed).unwrap_or(u32::MAX);
             pool.prefill_count = u32::try_from(prefill).unwrap_or(u32::MAX);
             pool.whole_count = u32::try_from(serving.len() - prefill).unwrap_or(u32::MAX);
         }
--- a/crates/policy/src/scheduler/outcome.rs
+++ b/crates/policy/src/scheduler/outcome.rs
@@ -3,7 +3,6 @@
 use agatestair_schema::settings::PolicyName;
 
 use crate::action::{Action, AttemptEnd, Purpose, RefusalCode};
-use crate::fleet::Route;
 use crate::keys::{AttemptKey, RequestKey};
 use crate::moment::Moment;
 use crate::scheduler::Scheduler;
@@ -203,9 +202,6 @@
         }
         let may_run = end == AttemptEnd::NotRun || request.idempotent();
         let more = request.attempts < self.settings.max_attempts && may_run;
-        if attempt.purpose == Purpose::Prefill {
-            request.route = Route::Whole;
-        }
         let service = request.facts.service.clone();
         if !more || !self.budgets(&service).retry.spend(1.0) {
             self.refuse(now, key, RefusalCode::Failed);
--- a/crates/policy/src/scheduler/place.rs
+++ b/crates/policy/src/scheduler/place.rs
@@ -48,7 +48,6 @@
         let pool = &self.pools[request.pool];
         let room = match part {
             Part::Prompt => &pool.prefill,
-            Part::Whole if pool.whole_count == 0 => &pool.prefill,
             Part::Whole | Part::Answer => &pool.whole,
         };
         self.scratch.clear();
@@ -59,9 +58,15 @@
         let tried = |endpoint: &EndpointKey| {
             request.live.iter().any(|live| self.attempts[*live].endpoint == *endpoint)
         };
+        // With no other engines, decode engines are asked for long prompts too.
+        let bounded = pool.prefill_count + pool.mixed_count > 0;
         let mut best: Option<(f64, Choice)> = None;
         for endpoint in self.scratch.iter().filter(|endpoint| !tried(endpoint)) {
             let (cost, choice) = self.cost(now, request, *endpoint, part);
+            let long = choice.uncached > self.settings.engine.decode_prompt;
+            if long && bounded && self.endpoints[*endpoint].decode_only() {
+                continue;
+            }
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, choice));
             }
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -62,6 +62,8 @@
     pub prefill_window: f64,
     /// Least number of uncached prompt tokens for which a prefill engine is used.
     pub split_tokens: u32,
+    /// Greatest number of uncached prompt tokens that a decode engine takes.
+    pub decode_prompt: u32,
 }
 
 impl Default for EngineModel {
@@ -75,6 +77,7 @@
             block_tokens: 4096,
             prefill_window: 60_000.0,
             split_tokens: 1024,
+            decode_prompt: 2048,
         }
     }
 }
