--- a/crates/entry/src/core/actor.rs
+++ b/crates/entry/src/core/actor.rs
@@ -189,8 +189,9 @@
     pub(super) fn apply(&mut self, now: Instant, actions: &mut Vec<Action>) {
         for action in actions.drain(..) {
             match action {
-                Action::Start { request, attempt, name, address, purpose, .. } => {
-                    self.start_attempt(now, request, attempt, &Target { name, address, purpose });
+                Action::Start { request, attempt, name, address, purpose, priority, .. } => {
+                    let target = Target { name, address, purpose, priority };
+                    self.start_attempt(now, request, attempt, &target);
                 }
                 Action::Cancel { attempt } => self.cancel(now, attempt),
                 Action::Refuse { request, refusal } => self.refuse(now, request, refusal),
@@ -274,4 +275,6 @@
     pub address: Arc<str>,
     /// What for.
     pub purpose: agatestair_policy::Purpose,
+    /// Scheduling priority at an engine.
+    pub priority: u32,
 }
--- a/crates/entry/src/core/attempts.rs
+++ b/crates/entry/src/core/attempts.rs
@@ -80,6 +80,7 @@
             endpoint: target.name.clone(),
             address: target.address.clone(),
             purpose: target.purpose,
+            priority: target.priority,
             watched: matches!(job.work, JobWork::Completion(_)),
             track,
             heard: now,
@@ -328,7 +329,7 @@
             prompt: work.prompt.to_string(),
             request,
             attempt: identifier,
-            priority: work.priority,
+            priority: attempt.priority,
         });
     }
     EngineWork::Completion(CompletionRequest {
@@ -336,7 +337,7 @@
         prompt: work.prompt.to_string(),
         max_tokens: work.max_tokens,
         stream: true,
-        priority: work.priority,
+        priority: attempt.priority,
         request,
         attempt: identifier,
         resume_offset: attempt.track.next,
--- a/crates/entry/src/core/job.rs
+++ b/crates/entry/src/core/job.rs
@@ -50,8 +50,6 @@
     pub prompt: Arc<str>,
     /// Greatest number of output tokens.
     pub max_tokens: u32,
-    /// Priority of the plan.
-    pub priority: u32,
     /// Answer so far.
     pub assembly: Assembly,
     /// Handle of a KV cache computed for the prompt.
@@ -82,6 +80,8 @@
     pub address: Arc<str>,
     /// What for.
     pub purpose: Purpose,
+    /// Scheduling priority at an engine.
+    pub priority: u32,
     /// Position in the answer.
     pub track: Track,
     /// When it started or last sent a piece.
--- a/crates/entry/src/core/requests.rs
+++ b/crates/entry/src/core/requests.rs
@@ -51,7 +51,6 @@
             model: job.model,
             prompt: job.prompt,
             max_tokens: job.max_tokens,
-            priority: plan.map_or(0, |plan| plan.priority),
             handle: None,
             first: None,
             reply: job.reply,
