Entry: tests of streams through engine faults; a cut answer's error event reaches the caller

The error event was lost: hyper flushes only when the body is pending, and the cut followed at once. The body now waits one turn between the event and the cut.

--- a/crates/entry/src/core/attempts.rs
+++ b/crates/entry/src/core/attempts.rs
@@ -1,12 +1,11 @@
 //! Attempts: start, events and end.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use agatestair_policy::{AttemptEnd, AttemptKey, Purpose, RequestKey};
 use agatestair_runtime::log_event;
-use agatestair_schema::caller::RunState;
+use agatestair_schema::caller::{ErrorBody, RunState};
 use agatestair_schema::endpoint::{CompletionRequest, KvExport};
 use tokio::sync::mpsc::error::TrySendError;
 
@@ -356,18 +355,11 @@
 
 /// Status by which a service says that it takes no new work.
 const BUSY_STATUS: u16 = 503;
-/// Header by which a service says whether a refused call ran.
-pub const RAN_HEADER: &str = "x-agatestair-ran";
 
 impl CallAnswer {
     /// Whether the service vouches that the call did not run.
     fn says_not_run(&self) -> bool {
-        let ran = self.headers.iter().find(|(name, _)| name == RAN_HEADER);
-        ran.is_some_and(|(_, value)| value == "not_run")
-    }
-
-    /// Name of the endpoint, shared.
-    pub fn endpoint_name(&self) -> Arc<str> {
-        self.endpoint.clone()
+        let refusal: Option<ErrorBody> = serde_json::from_slice(&self.body).ok();
+        refusal.is_some_and(|refusal| refusal.error.ran == RunState::NotRun)
     }
 }
--- a/crates/entry/src/http/events.rs
+++ b/crates/entry/src/http/events.rs
@@ -24,6 +24,8 @@
     Open,
     /// The whole answer was sent with its mark.
     Whole,
+    /// The answer is to be cut once what was written has been flushed.
+    Cutting,
     /// The answer was cut.
     Cut,
 }
@@ -82,12 +84,18 @@
             match event {
                 Some(CompletionEvent::Part(part)) => self.write_part(&mut chunk, &part),
                 Some(CompletionEvent::Refused(refused)) => self.write_cut(&mut chunk, &refused),
-                None => self.stage = Stage::Cut,
+                None => self.stage = Stage::Cutting,
             }
         }
         if !chunk.is_empty() {
             return Poll::Ready(Some(Ok(Frame::data(Bytes::from(chunk)))));
         }
+        if self.stage == Stage::Cutting {
+            // The connection flushes what it holds only when there is nothing to send.
+            self.stage = Stage::Cut;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         Poll::Ready((self.stage == Stage::Cut).then_some(Err(CutError)))
     }
 
@@ -108,6 +116,6 @@
         chunk.extend_from_slice(b"event: error\ndata: ");
         chunk.extend(body);
         chunk.extend_from_slice(b"\n\n");
-        self.stage = Stage::Cut;
+        self.stage = Stage::Cutting;
     }
 }
--- /dev/null
+++ b/crates/entry/tests/streams.rs
@@ -0,0 +1,133 @@
+//! Every answer arrives whole, whatever happens between the entry and the engines.
+
+mod support;
+
+use agatestair_schema::answer_text;
+use agatestair_schema::standins::{RunKind, RunOutcome};
+use googletest::prelude::*;
+use serde_json::{Value, json};
+
+use self::support::caller::{EventStream, StreamEnd, prompt_body, send};
+use self::support::{MODEL, Rig, RigSettings, eventually};
+
+struct Case {
+    name: &'static str,
+    faults: fn() -> Value,
+}
+
+/// Faults of both engines during which answers must still arrive whole.
+const CASES: [Case; 8] = [
+    Case { name: "none", faults: || json!({}) },
+    Case { name: "cut in the middle", faults: || json!({"cut_after": 7, "cut_count": 1}) },
+    Case { name: "doubled pieces", faults: || json!({"double": true, "share": 0.3}) },
+    Case { name: "swapped pieces", faults: || json!({"swap": true, "share": 0.2}) },
+    Case { name: "crossed pieces", faults: || json!({"cross": true, "share": 0.3}) },
+    Case { name: "late pieces", faults: || json!({"late_ms": 20, "share": 0.3}) },
+    Case { name: "refused once", faults: || json!({"refuse": 1}) },
+    Case { name: "a piece left out", faults: || json!({"omit": true, "share": 0.01}) },
+];
+
+#[gtest]
+fn answers_arrive_whole_through_faults() -> Result<()> {
+    let rig = Rig::start(RigSettings::default());
+    for case in &CASES {
+        for engine in ["engine0-1", "engine1-1"] {
+            rig.set_faults(engine, &(case.faults)());
+        }
+        let streams: Vec<_> = (0..4)
+            .map(|index| {
+                let address = rig.entry.address;
+                let prompt = format!("{} {index}", case.name);
+                std::thread::spawn(move || {
+                    let mut stream = EventStream::open(address, &prompt, 40);
+                    let end = stream.read_to_end();
+                    (prompt, stream, end)
+                })
+            })
+            .collect();
+        for stream in streams {
+            let (prompt, stream, end) = stream.join().expect("reader ends");
+            expect_that!(end, eq(StreamEnd::Whole), "{}: {:?}", case.name, stream.error);
+            expect_that!(stream.text, eq(&answer_text(MODEL, &prompt, 40)), "{}", case.name);
+            expect_that!(stream.finish, some(anything()), "{}", case.name);
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+fn whole_answers_and_chats_have_the_usual_shape() -> Result<()> {
+    let rig = Rig::start(RigSettings::default());
+    let address = rig.entry.address;
+    let answer = send(address, "POST", "/v1/completions", &[], &prompt_body("abcdefgh", 5, false));
+    verify_that!(answer.status, eq(200))?;
+    let body: Value = serde_json::from_str(&answer.body).or_fail()?;
+    expect_that!(body["object"], eq(&json!("text_completion")));
+    expect_that!(body["choices"][0]["text"], eq(&json!(answer_text(MODEL, "abcdefgh", 5))));
+    expect_that!(
+        body["usage"],
+        eq(&json!({"prompt_tokens": 2, "completion_tokens": 5, "total_tokens": 7}))
+    );
+    expect_that!(answer.header("x-request-id"), some(eq(body["id"].as_str().unwrap_or(""))));
+    let chat = json!({"model": MODEL, "messages": [{"role": "user", "content": "hi"}],
+        "max_tokens": 3});
+    let answer = send(address, "POST", "/v1/chat/completions", &[], &chat.to_string());
+    let body: Value = serde_json::from_str(&answer.body).or_fail()?;
+    let text = answer_text(MODEL, "user: hi\nassistant:", 3);
+    expect_that!(body["object"], eq(&json!("chat.completion")));
+    expect_that!(body["choices"][0]["message"], eq(&json!({"role": "assistant", "content": text})));
+    Ok(())
+}
+
+#[gtest]
+fn engine_is_cancelled_when_the_caller_leaves() -> Result<()> {
+    let rig = Rig::start(RigSettings::default());
+    let mut stream = EventStream::open(rig.entry.address, "leaving", 4000);
+    for _ in 0..3 {
+        verify_true!(stream.read_piece())?;
+    }
+    drop(stream);
+    eventually("the engine is cancelled", || {
+        rig.runs().iter().any(|run| {
+            run.kind == RunKind::Completion
+                && matches!(run.outcome, RunOutcome::Cancelled | RunOutcome::Gone)
+        })
+    });
+    Ok(())
+}
+
+#[gtest]
+fn answer_survives_the_crash_of_its_engine() -> Result<()> {
+    let rig = Rig::start(RigSettings::default());
+    let mut stream = EventStream::open(rig.entry.address, "crash", 300);
+    verify_true!(stream.read_piece())?;
+    let engine = rig.runs()[0].endpoint.clone();
+    rig.set_faults(&engine, &json!({"crash_ms": 60_000}));
+    expect_that!(stream.read_to_end(), eq(StreamEnd::Whole), "{:?}", stream.error);
+    expect_that!(stream.text, eq(&answer_text(MODEL, "crash", 300)));
+    Ok(())
+}
+
+#[gtest]
+fn answer_survives_a_connection_that_goes_silent() -> Result<()> {
+    let rig = Rig::start(RigSettings::default());
+    let mut stream = EventStream::open(rig.entry.address, "silence", 200);
+    verify_true!(stream.read_piece())?;
+    let engine = rig.runs()[0].endpoint.clone();
+    rig.set_faults(&engine, &json!({"silence": true}));
+    expect_that!(stream.read_to_end(), eq(StreamEnd::Whole), "{:?}", stream.error);
+    expect_that!(stream.text, eq(&answer_text(MODEL, "silence", 200)));
+    Ok(())
+}
+
+#[gtest]
+fn answer_that_cannot_go_on_is_visibly_cut() -> Result<()> {
+    let rig = Rig::start(RigSettings { engines: 1, ..RigSettings::default() });
+    let mut stream = EventStream::open(rig.entry.address, "cut", 2000);
+    verify_true!(stream.read_piece())?;
+    rig.set_faults("engine0-1", &json!({"crash_ms": 60_000}));
+    expect_that!(stream.read_to_end(), eq(StreamEnd::Cut));
+    expect_that!(stream.error, some(anything()));
+    expect_that!(stream.finish, none());
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,272 @@
+//! A real entry process between stand-ins and a small fake of its control process.
+
+#![allow(dead_code)]
+
+pub mod caller;
+pub mod control;
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use agatestair_schema::platform::PlatformFaults;
+use agatestair_schema::settings::StandinSettings;
+use agatestair_schema::standins::{EndpointFaults, RunPage, RunRecord};
+use agatestair_standins::{Recorder, StandinDeployment};
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use self::control::FakeControl;
+
+/// Longest wait for an event that must come.
+pub const WAIT: Duration = Duration::from_secs(30);
+/// Model of the stand-in engines.
+pub const MODEL: &str = "m1";
+/// API key of the test's customer.
+pub const API_KEY: &str = "test-key";
+/// Key of the links.
+pub const LINK_KEY: &str = "link-key";
+
+/// What a rig is made of.
+pub struct RigSettings {
+    /// Number of engines.
+    pub engines: usize,
+    /// Number of endpoints of the plain service.
+    pub services: usize,
+    /// Time of one decode step in milliseconds.
+    pub step_ms: f64,
+    /// Duration of a call in milliseconds.
+    pub work_ms: u64,
+    /// Rule while the store is down.
+    pub store_down: &'static str,
+    /// Protections switched off.
+    pub disabled: &'static [&'static str],
+    /// Lifetime of an answer of `GET /v1/entries`.
+    pub answer_ms: u64,
+    /// Time without contact after which work is refused.
+    pub stale_ms: u64,
+}
+
+impl Default for RigSettings {
+    fn default() -> Self {
+        Self {
+            engines: 2,
+            services: 2,
+            step_ms: 4.0,
+            work_ms: 10,
+            store_down: "refuse",
+            disabled: &[],
+            answer_ms: 500,
+            stale_ms: 3000,
+        }
+    }
+}
+
+/// A real entry process between stand-ins.
+pub struct Rig {
+    /// Records of the stand-ins.
+    pub recorder: Arc<Recorder>,
+    /// Address of the recorder's interface.
+    pub record: SocketAddr,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// The fake control process of the first entry.
+    pub control: FakeControl,
+    /// The first entry.
+    pub entry: Entry,
+    settings: RigSettings,
+}
+
+/// One entry process; killed when dropped.
+pub struct Entry {
+    /// Address for callers.
+    pub address: SocketAddr,
+    child: Child,
+}
+
+impl Entry {
+    /// Process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("child is ours");
+        self.child.wait().expect("child is ours");
+    }
+
+    /// Asks the process to shut down.
+    pub fn terminate(&self) {
+        let status = Command::new("kill").arg(self.pid().to_string()).status();
+        assert!(status.expect("kill runs").success(), "the entry is gone already");
+    }
+
+    /// Waits for the end of the process.
+    pub fn wait(&mut self) -> ExitStatus {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("child is ours") {
+                return status;
+            }
+            assert!(start.elapsed() < WAIT, "the entry does not end");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        // It may have ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Rig {
+    /// Starts the stand-ins, the fake control process and the entry, and waits until it is ready.
+    pub fn start(settings: RigSettings) -> Self {
+        let platform = free_address();
+        let record = free_address();
+        let engines: Vec<SocketAddr> = (0..settings.engines).map(|_| free_address()).collect();
+        let services: Vec<SocketAddr> = (0..settings.services).map(|_| free_address()).collect();
+        let standins = standin_settings(&settings, platform, record, &engines, &services);
+        let deployment = StandinDeployment::start(&standins).expect("stand-ins start");
+        let control = FakeControl::start(&settings, &engines, &services);
+        let entry = start_entry("e1", &settings, platform, control.address);
+        let rig =
+            Self { recorder: deployment.recorder, record, platform, control, entry, settings };
+        rig.wait_ready(rig.entry.address);
+        rig
+    }
+
+    /// Starts a further entry on the same stand-ins, with a control process of its own.
+    pub fn start_entry(&self, name: &str) -> (FakeControl, Entry) {
+        let control = self.control.sibling();
+        let entry = start_entry(name, &self.settings, self.platform, control.address);
+        self.wait_ready(entry.address);
+        (control, entry)
+    }
+
+    fn wait_ready(&self, address: SocketAddr) {
+        eventually("the entry is ready", || caller::status(address, "/readyz") == Some(200));
+    }
+
+    /// Replaces the faults of an endpoint: those named in `faults`, nothing else.
+    pub fn set_faults(&self, endpoint: &str, faults: &Value) {
+        let faults: EndpointFaults =
+            serde_json::from_value(faults.clone()).expect("known names of faults");
+        post(self.record, &format!("/faults/{endpoint}"), &faults);
+    }
+
+    /// Replaces the faults of the platform.
+    pub fn set_platform(&self, faults: &Value) {
+        let faults: PlatformFaults =
+            serde_json::from_value(faults.clone()).expect("known names of faults");
+        post(self.platform, "/faults", &faults);
+    }
+
+    /// Lets everything held go on.
+    pub fn release(&self) {
+        post(self.record, "/release", &json!({}));
+    }
+
+    /// Work that reached the endpoints.
+    pub fn runs(&self) -> Vec<RunRecord> {
+        let page: RunPage = caller::get_json(self.record, "/runs?after=0&limit=100000");
+        page.runs
+    }
+}
+
+fn post<T: Serialize>(address: SocketAddr, path: &str, value: &T) {
+    let answer = ureq::post(format!("http://{address}{path}")).send_json(value);
+    assert!(answer.is_ok(), "{path}: {answer:?}");
+}
+
+/// Waits until `condition` holds.
+pub fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < WAIT, "waited in vain until {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// An address of this machine that is free now.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.local_addr().expect("bound")
+}
+
+fn standin_settings(
+    settings: &RigSettings,
+    platform: SocketAddr,
+    record: SocketAddr,
+    engines: &[SocketAddr],
+    services: &[SocketAddr],
+) -> StandinSettings {
+    let engines: Vec<Value> = engines
+        .iter()
+        .enumerate()
+        .map(|(index, address)| {
+            json!({
+                "service": "models", "prefix": format!("engine{index}-"), "domains": ["a"],
+                "region": "r", "first_port": address.port(), "count": 1, "models": [MODEL],
+                "step_ms": settings.step_ms,
+            })
+        })
+        .collect();
+    let services: Vec<Value> = services
+        .iter()
+        .enumerate()
+        .map(|(index, address)| {
+            json!({
+                "service": "ledger", "prefix": format!("ledger{index}-"), "domains": ["a"],
+                "region": "r", "first_port": address.port(), "count": 1,
+                "work_ms": settings.work_ms,
+            })
+        })
+        .collect();
+    let document = json!({
+        "platform": platform.to_string(), "record": record.to_string(), "seed": 1,
+        "engines": engines, "services": services,
+    });
+    serde_json::from_value(document).expect("settings are valid")
+}
+
+fn start_entry(
+    name: &str,
+    settings: &RigSettings,
+    platform: SocketAddr,
+    control: SocketAddr,
+) -> Entry {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let address = free_address();
+    let document = json!({
+        "instance": {"name": name, "region": "r", "domain": "a"},
+        "listen": address.to_string(),
+        "control": control.to_string(),
+        "platform": {"address": platform.to_string(), "timeout_ms": 500},
+        "link": {"key": LINK_KEY},
+        "log": {"level": "error"},
+        "services": [{"name": "models"}, {"name": "ledger"}],
+        "answer_ms": settings.answer_ms,
+        "stale_ms": settings.stale_ms,
+        "max_body": 65_536,
+        "disabled": settings.disabled,
+    });
+    let count = COUNT.fetch_add(1, Ordering::Relaxed);
+    let file = format!("entry-{}-{count}.json", std::process::id());
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(file);
+    std::fs::write(&path, document.to_string()).expect("temporary folder is writable");
+    let child = Command::new(env!("CARGO_BIN_EXE_agatestair-entry"))
+        .arg("--config")
+        .arg(&path)
+        .stdin(Stdio::null())
+        .spawn()
+        .expect("entry starts");
+    Entry { address, child }
+}
