Keyed calls and bad input tested; a retry goes to an endpoint that has not failed the request

Found by the tests: with two engines none is ejected (ejection keeps 60%), so all four attempts of a request went to the crashed one within milliseconds; the scheduler now ranks endpoints that failed the request last, and attempts that brought the answer forward do not count. A withdrawn request's refusal overtook the entry's own word (outcome_unknown told as failed). A call dispatched without a record while the store was down ran again after the store came back; services with the rule dispatch_once are now asked for the key before each dispatch.

--- a/crates/entry/src/core/attempts.rs
+++ b/crates/entry/src/core/attempts.rs
@@ -213,6 +213,7 @@
             work.handle = Some(handle);
         }
         self.scheduler.note_prefilled(moment, key);
+        self.scheduler.note_end(moment, key, AttemptEnd::Done);
     }
 
     fn take_answer(&mut self, now: Instant, key: AttemptKey, answer: CallAnswer) {
--- a/crates/entry/src/core/requests.rs
+++ b/crates/entry/src/core/requests.rs
@@ -222,15 +222,14 @@
             self.attempts.remove(winner);
             self.scheduler.note_end(moment, winner, AttemptEnd::Done);
         }
-        let live = self.jobs.get(request).map(|job| job.attempts.clone()).unwrap_or_default();
-        for attempt in live.into_iter().filter(|live| Some(*live) != winner) {
-            self.cancel(now, attempt);
+        let job = self.jobs.remove(request)?;
+        self.numbers.remove(&job.caller.number);
+        for attempt in job.attempts.iter().filter(|live| Some(**live) != winner) {
+            self.cancel(now, *attempt);
         }
         let mut actions = Vec::new();
         self.scheduler.withdraw(request, &mut actions);
         self.apply(now, &mut actions);
-        let job = self.jobs.remove(request)?;
-        self.numbers.remove(&job.caller.number);
         Some(job)
     }
 
--- a/crates/entry/src/http/calls.rs
+++ b/crates/entry/src/http/calls.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Request};
+use percent_encoding::percent_decode_str;
 use tokio::sync::oneshot;
 
 use crate::core::message::{CallAnswer, CallJob, CallRequest, Caller, EntryMessage};
@@ -23,8 +24,8 @@
 pub const KEY_HEADER: &str = "idempotency-key";
 /// Longest idempotency key in characters.
 const MAX_KEY: usize = 200;
-/// Start of the paths that endpoints keep for the entries.
-const OWN_PATHS: &str = "/agatestair/";
+/// First segment of the paths that endpoints keep for the entries.
+const OWN_SEGMENT: &str = "agatestair";
 /// Headers of callers that are not passed on, beside those of one connection.
 const KEPT_BACK: [&str; 5] = ["authorization", "host", "expect", REQUEST_HEADER, KEY_HEADER];
 
@@ -112,9 +113,7 @@
         rest if rest.starts_with('/') => rest.to_owned(),
         rest => format!("/{rest}"),
     };
-    if path.starts_with(OWN_PATHS) {
-        return Err(Refused::not_run(RefusalKind::NotFound).because("no such path"));
-    }
+    check_path(&path)?;
     let key = single_header(&head.headers, KEY_HEADER, MAX_KEY)?;
     let body = read_body(body, front.settings.max_body).await?;
     if !body.is_empty() && matches!(head.method, Method::GET | Method::HEAD | Method::DELETE) {
@@ -162,6 +161,26 @@
     answer.await.unwrap_or_else(|_| Err(lost()))
 }
 
+/// Refuses paths that climb and those that endpoints keep for the entries, however they are spelt.
+fn check_path(path: &str) -> Result<(), Refused> {
+    let path = path.split('?').next().unwrap_or_default();
+    let decoded = decode(path);
+    let mut segments = decoded.split(['/', '\\']).filter(|segment| !segment.is_empty());
+    if segments.clone().any(|segment| segment == ".." || segment == ".") {
+        let refused = Refused::not_run(RefusalKind::BadRequest);
+        return Err(refused.because("path: segments `.` and `..` are not allowed"));
+    }
+    if segments.next().is_some_and(|first| first.eq_ignore_ascii_case(OWN_SEGMENT)) {
+        return Err(Refused::not_run(RefusalKind::NotFound).because("no such path"));
+    }
+    Ok(())
+}
+
+/// Decodes percent escapes; other text stays.
+fn decode(path: &str) -> String {
+    percent_decode_str(path).decode_utf8_lossy().into_owned()
+}
+
 fn passed_headers(headers: &HeaderMap) -> Vec<(String, String)> {
     headers
         .iter()
--- a/crates/entry/src/http/keyed.rs
+++ b/crates/entry/src/http/keyed.rs
@@ -68,8 +68,22 @@
 
 /// Dispatches a call whose key this request holds.
 async fn run_held(front: &Arc<Front>, keyed: &KeyedCall, held: Held, reply: Reply) {
-    let result = dispatch(front, keyed).await;
-    match result {
+    // While the store was down the call may have been dispatched without a record.
+    if keyed.lists.store_rule(&keyed.service) == StoreRule::DispatchOnce {
+        match ask(front, keyed).await {
+            Knowledge::Unseen | Knowledge::Unreachable => {}
+            Knowledge::Running => {
+                answer(reply, Err(state(RefusalKind::StillRunning, RunState::Running)));
+                return;
+            }
+            Knowledge::Done(done) => {
+                answer(reply, Ok(replayed(done.clone())));
+                front.claims.record(held, Some(&done)).await;
+                return;
+            }
+        }
+    }
+    match dispatch(front, keyed).await {
         Ok(done) => {
             answer(reply, Ok(done.clone()));
             front.claims.record(held, Some(&done)).await;
--- /dev/null
+++ b/crates/entry/tests/keyed.rs
@@ -0,0 +1,198 @@
+//! A call with an idempotency key runs at most once, and what callers are told of it is true.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use agatestair_schema::caller::RunState;
+use googletest::prelude::*;
+use serde_json::json;
+
+use self::support::caller::{Answer, send};
+use self::support::{Rig, RigSettings, eventually};
+
+const PATH: &str = "/v1/services/ledger/scores";
+const LEDGERS: [&str; 2] = ["ledger0-1", "ledger1-1"];
+
+fn post(address: SocketAddr, key: &str, body: &str) -> Answer {
+    send(address, "POST", PATH, &[("Idempotency-Key", key)], body)
+}
+
+/// Times that calls with this key took effect.
+fn effects(rig: &Rig, key: &str) -> usize {
+    rig.runs().iter().filter(|run| run.key == key && run.started_ms > 0).count()
+}
+
+fn set_ledgers(rig: &Rig, faults: &serde_json::Value) {
+    for ledger in LEDGERS {
+        rig.set_faults(ledger, faults);
+    }
+}
+
+#[gtest]
+fn repeat_gets_the_kept_answer() -> Result<()> {
+    let rig = Rig::start(RigSettings::default());
+    let large = "x".repeat(50_000);
+    for (key, body) in [("small", "17 points"), ("large", large.as_str())] {
+        let first = post(rig.entry.address, key, body);
+        verify_that!(first.status, eq(200))?;
+        expect_that!(first.header("x-agatestair-replayed"), none());
+        let (_control, other) = rig.start_entry("e2");
+        for address in [rig.entry.address, other.address] {
+            eventually("the outcome is recorded", || {
+                let repeat = post(address, key, body);
+                repeat.status == 200 && repeat.header("x-agatestair-replayed") == Some("true")
+            });
+            let repeat = post(address, key, body);
+            expect_that!(repeat.body, eq(&first.body), "{key}");
+        }
+        expect_that!(effects(&rig, key), eq(1), "{key}");
+    }
+    Ok(())
+}
+
+#[gtest]
+fn key_with_another_body_is_refused() -> Result<()> {
+    let rig = Rig::start(RigSettings::default());
+    verify_that!(post(rig.entry.address, "k", "first").status, eq(200))?;
+    let other = post(rig.entry.address, "k", "second");
+    expect_that!(other.status, eq(422));
+    expect_that!(other.refusal().0, eq("key_mismatch"));
+    expect_that!(effects(&rig, "k"), eq(1));
+    Ok(())
+}
+
+#[gtest]
+fn repeat_while_the_first_runs_is_told_so() -> Result<()> {
+    let rig = Rig::start(RigSettings::default());
+    let (_control, other) = rig.start_entry("e2");
+    set_ledgers(&rig, &json!({"hold_before": 1}));
+    let address = rig.entry.address;
+    let first = std::thread::spawn(move || post(address, "k", "body"));
+    eventually("the call has arrived", || rig.runs().iter().any(|run| run.key == "k"));
+    let repeat = post(other.address, "k", "body");
+    expect_that!(repeat.refusal(), eq(&("still_running".to_owned(), RunState::Running)));
+    rig.release();
+    expect_that!(first.join().expect("caller ends").status, eq(200));
+    expect_that!(effects(&rig, "k"), eq(1));
+    Ok(())
+}
+
+#[gtest]
+fn lost_answer_of_the_service_is_settled() -> Result<()> {
+    let rig = Rig::start(RigSettings::default());
+    set_ledgers(&rig, &json!({"lose_answers": 1}));
+    let first = post(rig.entry.address, "k", "body");
+    expect_that!(first.status, eq(200), "{}", first.body);
+    expect_that!(first.header("x-agatestair-replayed"), some(eq("true")));
+    expect_that!(effects(&rig, "k"), eq(1));
+    Ok(())
+}
+
+#[gtest]
+fn lost_replies_of_the_store_are_resolved() -> Result<()> {
+    let rig = Rig::start(RigSettings::default());
+    rig.set_platform(&json!({"lose_replies": 2}));
+    let first = post(rig.entry.address, "k", "body");
+    expect_that!(first.status, eq(200), "{}", first.body);
+    expect_that!(effects(&rig, "k"), eq(1));
+    Ok(())
+}
+
+#[gtest]
+fn call_without_a_key_is_dispatched_once() -> Result<()> {
+    let rig = Rig::start(RigSettings::default());
+    set_ledgers(&rig, &json!({"lose_answers": 1}));
+    let answer = send(rig.entry.address, "POST", PATH, &[], "body");
+    expect_that!(answer.refusal(), eq(&("outcome_unknown".to_owned(), RunState::Unknown)));
+    expect_that!(rig.runs().len(), eq(1));
+    Ok(())
+}
+
+#[gtest]
+fn idempotent_call_is_repeated() -> Result<()> {
+    let rig = Rig::start(RigSettings::default());
+    set_ledgers(&rig, &json!({"lose_answers": 1}));
+    let answer = send(rig.entry.address, "GET", PATH, &[], "");
+    expect_that!(answer.status, eq(200), "{}", answer.body);
+    Ok(())
+}
+
+#[gtest]
+fn refused_call_goes_to_another_endpoint() -> Result<()> {
+    let rig = Rig::start(RigSettings::default());
+    set_ledgers(&rig, &json!({"refuse": 1}));
+    let answer = post(rig.entry.address, "k", "body");
+    expect_that!(answer.status, eq(200), "{}", answer.body);
+    expect_that!(effects(&rig, "k"), eq(1));
+    Ok(())
+}
+
+struct StoreCase {
+    rule: &'static str,
+    status: u16,
+    effects: usize,
+}
+
+/// What a call gets while the store is down.
+const STORE_CASES: [StoreCase; 2] = [
+    StoreCase { rule: "refuse", status: 503, effects: 0 },
+    StoreCase { rule: "dispatch_once", status: 200, effects: 1 },
+];
+
+#[gtest]
+fn store_down_follows_the_rule_of_the_service() -> Result<()> {
+    for case in &STORE_CASES {
+        let rig = Rig::start(RigSettings { store_down: case.rule, ..RigSettings::default() });
+        rig.set_platform(&json!({"outage": true}));
+        let answer = post(rig.entry.address, "k", "body");
+        expect_that!(answer.status, eq(case.status), "{}: {}", case.rule, answer.body);
+        expect_that!(effects(&rig, "k"), eq(case.effects), "{}", case.rule);
+        if case.effects == 0 {
+            expect_that!(answer.refusal(), eq(&("store_down".to_owned(), RunState::Unknown)));
+        } else {
+            expect_that!(answer.header("x-agatestair-record"), some(eq("none")));
+            let repeat = post(rig.entry.address, "k", "body");
+            expect_that!(repeat.header("x-agatestair-replayed"), some(eq("true")));
+        }
+        rig.set_platform(&json!({}));
+        let late = post(rig.entry.address, "k", "body");
+        expect_that!(late.status, eq(200), "{}: {}", case.rule, late.body);
+        expect_that!(effects(&rig, "k"), eq(1), "{}", case.rule);
+    }
+    Ok(())
+}
+
+#[gtest]
+fn claim_of_a_killed_entry_is_settled_by_the_service() -> Result<()> {
+    let mut rig = Rig::start(RigSettings::default());
+    let (_control, other) = rig.start_entry("e2");
+    set_ledgers(&rig, &json!({"hold_before": 1}));
+    let address = rig.entry.address;
+    std::thread::spawn(move || {
+        let request = ureq::post(format!("http://{address}{PATH}"))
+            .header("Authorization", format!("Bearer {}", support::API_KEY))
+            .header("Idempotency-Key", "k");
+        // The entry is killed before it answers.
+        let _ = request.send("body");
+    });
+    eventually("the call has arrived", || rig.runs().iter().any(|run| run.key == "k"));
+    rig.entry.kill();
+    let repeat = post(other.address, "k", "body");
+    expect_that!(repeat.status, eq(409));
+    expect_that!(repeat.refusal().1, any![eq(RunState::Running), eq(RunState::Unknown)]);
+    rig.release();
+    eventually("the outcome is known", || post(other.address, "k", "body").status == 200);
+    expect_that!(effects(&rig, "k"), eq(1));
+    Ok(())
+}
+
+#[gtest]
+fn without_its_protection_a_call_runs_twice() -> Result<()> {
+    let rig = Rig::start(RigSettings { disabled: &["claim"], ..RigSettings::default() });
+    for _ in 0..2 {
+        verify_that!(post(rig.entry.address, "k", "body").status, eq(200))?;
+    }
+    expect_that!(effects(&rig, "k"), eq(2));
+    Ok(())
+}
--- a/crates/entry/tests/support/caller.rs
+++ b/crates/entry/tests/support/caller.rs
@@ -41,6 +41,7 @@
 fn agent() -> Agent {
     Agent::config_builder()
         .http_status_as_error(false)
+        .allow_non_standard_methods(true)
         .timeout_global(Some(READ_LIMIT))
         .max_idle_connections(0)
         .build()
--- a/crates/policy/src/scheduler/admit.rs
+++ b/crates/policy/src/scheduler/admit.rs
@@ -210,6 +210,7 @@
             place: None,
             behind: false,
             hedges: 0,
+            failed: Vec::new(),
         };
         let key = self.requests.insert(request);
         self.requests[key].ticket.request = key;
--- a/crates/policy/src/scheduler/outcome.rs
+++ b/crates/policy/src/scheduler/outcome.rs
@@ -200,6 +200,11 @@
         if waits || request.live.iter().any(|live| !self.attempts[*live].cancelled) {
             return;
         }
+        request.failed.push(attempt.endpoint);
+        if attempt.tokens > 0 {
+            // Attempts that brought the answer forward do not count against a long stream.
+            request.attempts = 0;
+        }
         let may_run = end == AttemptEnd::NotRun || request.idempotent();
         let more = request.attempts < self.settings.max_attempts && may_run;
         let service = request.facts.service.clone();
--- a/crates/policy/src/scheduler/place.rs
+++ b/crates/policy/src/scheduler/place.rs
@@ -60,15 +60,16 @@
         };
         // With no other engines, decode engines are asked for long prompts too.
         let bounded = pool.prefill_count + pool.mixed_count > 0;
-        let mut best: Option<(f64, Choice)> = None;
+        let mut best: Option<((bool, f64), Choice)> = None;
         for endpoint in self.scratch.iter().filter(|endpoint| !tried(endpoint)) {
             let (cost, choice) = self.cost(now, request, *endpoint, part);
             let long = choice.uncached > self.settings.engine.decode_prompt;
             if long && bounded && self.endpoints[*endpoint].decode_only() {
                 continue;
             }
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, choice));
+            let rank = (request.failed.contains(endpoint), cost);
+            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+                best = Some((rank, choice));
             }
         }
         best.map(|(_, choice)| choice)
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -41,6 +41,8 @@
     /// Whether later requests got ahead of it.
     pub(crate) behind: bool,
     pub(crate) hedges: u32,
+    /// Endpoints at which attempts failed, which get a further one only if no other has room.
+    pub(crate) failed: Vec<EndpointKey>,
 }
 
 impl Request {
