--- /dev/null
+++ b/crates/ctl/src/operator.rs
@@ -0,0 +1,236 @@
+//! Changes of the lists and wishes in the table service.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use agatestair_platform::{Outcome, Platform, Purpose, put_row, require};
+use agatestair_schema::lists::{
+    AllowancesList, EndpointWish, HistoryRow, Lists, PlansList, WishState,
+};
+use agatestair_schema::platform::{InstanceKind, Row};
+use agatestair_schema::settings::CtlSettings;
+use serde::de::DeserializeOwned;
+use sha2::{Digest, Sha256};
+
+use crate::error::CtlError;
+
+/// Row that holds the two lists.
+const LISTS_ROW: &str = "lists";
+/// Start of the keys of the history's rows.
+const HISTORY_PREFIX: &str = "lists-history/";
+
+/// An operator's access to the table service.
+pub struct Operator {
+    platform: Platform,
+    name: String,
+}
+
+impl Operator {
+    /// Opens no connection yet.
+    pub fn new(settings: &CtlSettings) -> Self {
+        Self { platform: Platform::new(&settings.platform), name: settings.operator.clone() }
+    }
+
+    /// Reads the lists in the table and the version of their row; `None` before the first change.
+    ///
+    /// # Errors
+    ///
+    /// [`CtlError::Platform`] if they could not be read.
+    pub fn current(&self) -> Result<Option<(Lists, u64)>, CtlError> {
+        let row = self.platform.table().row(Purpose::Lists, LISTS_ROW)?;
+        row.map(|row| Ok((parse_row(&row)?, row.version))).transpose()
+    }
+
+    /// Puts lists in force by compare-and-set on the revision.
+    ///
+    /// `base` is the revision that the change is based on; without it, the one now in the table.
+    ///
+    /// # Errors
+    ///
+    /// [`CtlError::Conflict`] if another revision is in force, [`CtlError::Unknown`] if no answer
+    /// came, or [`CtlError::Platform`].
+    pub fn apply(
+        &self,
+        plans: PlansList,
+        allowances: AllowancesList,
+        base: Option<u64>,
+        cause: &str,
+    ) -> Result<Lists, CtlError> {
+        let present = self.current()?;
+        let revision = present.as_ref().map_or(0, |(lists, _)| lists.revision);
+        let version = present.as_ref().map_or(0, |(_, version)| *version);
+        if let Some(base) = base.filter(|base| *base != revision) {
+            return Err(conflict_of(base, present.as_ref().map(|(lists, _)| lists)));
+        }
+        let lists = Lists {
+            allowances,
+            applied_ms: unix_ms(),
+            operator: self.name.clone(),
+            plans,
+            revision: revision + 1,
+        };
+        let object = format!("lists/{:010}-{}", lists.revision, self.platform.attempt_id());
+        let body = serde_json::to_vec(&lists).expect("wire types have text keys");
+        self.platform.objects().put(Purpose::Lists, &object, &body)?;
+        self.commit(revision, version, lists, object, cause)
+    }
+
+    fn commit(
+        &self,
+        base: u64,
+        version: u64,
+        lists: Lists,
+        object: String,
+        cause: &str,
+    ) -> Result<Lists, CtlError> {
+        let history = HistoryRow {
+            applied_ms: lists.applied_ms,
+            cause: cause.to_owned(),
+            object,
+            operator: lists.operator.clone(),
+            revision: lists.revision,
+        };
+        let history_key = history_key(lists.revision);
+        let outcome = self.platform.table().transact(
+            Purpose::Lists,
+            vec![require(LISTS_ROW, version)],
+            vec![put_row(LISTS_ROW, &lists), put_row(&history_key, &history)],
+        )?;
+        match outcome {
+            Outcome::Committed(_) => Ok(lists),
+            Outcome::Unknown(_) => {
+                Err(CtlError::Unknown { what: format!("revision {}", lists.revision) })
+            }
+            Outcome::Conflict(rows) => {
+                let row = rows.iter().find(|row| row.key == LISTS_ROW);
+                let newer = row.and_then(|row| parse_row::<Lists>(row).ok());
+                Err(conflict_of(base, newer.as_ref()))
+            }
+        }
+    }
+
+    /// Reads the history, oldest first.
+    ///
+    /// # Errors
+    ///
+    /// [`CtlError::Platform`] if it could not be read.
+    pub fn history(&self) -> Result<Vec<HistoryRow>, CtlError> {
+        let rows = self.platform.table().rows(Purpose::Lists, HISTORY_PREFIX)?;
+        rows.iter().map(parse_row).collect()
+    }
+
+    /// Reads the lists of an earlier revision.
+    ///
+    /// # Errors
+    ///
+    /// [`CtlError::Missing`] if there is no such revision, or [`CtlError::Platform`].
+    pub fn revision(&self, revision: u64) -> Result<Lists, CtlError> {
+        let missing = || CtlError::Missing {
+            what: format!("revision {revision}"),
+            remedy: "see `agatestairctl history` for those kept".to_owned(),
+        };
+        let key = history_key(revision);
+        let row = self.platform.table().row(Purpose::Lists, &key)?.ok_or_else(missing)?;
+        let history: HistoryRow = parse_row(&row)?;
+        let body = self.platform.objects().get(Purpose::Lists, &history.object)?;
+        let body = body.ok_or_else(missing)?;
+        serde_json::from_slice(&body).map_err(|error| malformed(&history.object, &error))
+    }
+
+    /// Records what is wanted of an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// [`CtlError::Missing`] if the platform lists no such endpoint, [`CtlError::WishConflict`] if
+    /// another operator came first, [`CtlError::Unknown`], or [`CtlError::Platform`].
+    pub fn wish(
+        &self,
+        endpoint: &str,
+        state: WishState,
+        successor: Option<String>,
+    ) -> Result<EndpointWish, CtlError> {
+        self.check_endpoint(endpoint, successor.as_deref())?;
+        let key = format!("wish/{endpoint}");
+        let version = self.platform.table().row(Purpose::Wish, &key)?.map_or(0, |row| row.version);
+        let wish = EndpointWish {
+            asked_ms: unix_ms(),
+            endpoint: endpoint.to_owned(),
+            operator: self.name.clone(),
+            state,
+            successor,
+        };
+        let outcome = self.platform.table().transact(
+            Purpose::Wish,
+            vec![require(&key, version)],
+            vec![put_row(&key, &wish)],
+        )?;
+        match outcome {
+            Outcome::Committed(_) => Ok(wish),
+            Outcome::Unknown(_) => Err(CtlError::Unknown { what: format!("{state} {endpoint}") }),
+            Outcome::Conflict(rows) => Err(CtlError::WishConflict {
+                endpoint: endpoint.to_owned(),
+                present: rows.first().map(describe_wish).unwrap_or_default(),
+            }),
+        }
+    }
+
+    fn check_endpoint(&self, endpoint: &str, successor: Option<&str>) -> Result<(), CtlError> {
+        let listed = self.platform.instances().list()?;
+        let endpoints: Vec<_> =
+            listed.iter().filter(|record| record.kind != InstanceKind::Entry).collect();
+        for name in [Some(endpoint), successor].into_iter().flatten() {
+            if !endpoints.iter().any(|record| record.name == name) {
+                return Err(CtlError::Missing {
+                    what: format!("endpoint {name}"),
+                    remedy: "see `agatestairctl status` for the endpoints listed".to_owned(),
+                });
+            }
+        }
+        if successor == Some(endpoint) {
+            return Err(CtlError::Missing {
+                what: format!("a successor of {endpoint} other than itself"),
+                remedy: "name another endpoint with `--by`".to_owned(),
+            });
+        }
+        Ok(())
+    }
+}
+
+/// SHA-256 of an API key in hexadecimal, as the list of plans holds it.
+pub fn hash_key(key: &str) -> String {
+    Sha256::digest(key.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn history_key(revision: u64) -> String {
+    format!("{HISTORY_PREFIX}{revision:010}")
+}
+
+fn describe_wish(row: &Row) -> String {
+    parse_row::<EndpointWish>(row).map_or_else(
+        |_| "no longer wished".to_owned(),
+        |wish| format!("{} by {}", wish.state, wish.operator),
+    )
+}
+
+fn conflict_of(base: u64, newer: Option<&Lists>) -> CtlError {
+    CtlError::Conflict {
+        base,
+        newer: newer.map_or(0, |lists| lists.revision),
+        operator: newer.map_or_else(|| "nobody".to_owned(), |lists| lists.operator.clone()),
+    }
+}
+
+fn parse_row<T: DeserializeOwned>(row: &Row) -> Result<T, CtlError> {
+    serde_json::from_str(&row.value).map_err(|error| malformed(&row.key, &error))
+}
+
+fn malformed(what: &str, error: &serde_json::Error) -> CtlError {
+    CtlError::Platform(agatestair_platform::PlatformError::Malformed {
+        what: what.to_owned(),
+        cause: error.to_string(),
+    })
+}
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
+}
