--- /dev/null
+++ b/crates/report/src/main.rs
@@ -0,0 +1,122 @@
+//! Command line of the service-level burn report.
+
+use std::fs;
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use agatestair_platform::Platform;
+use agatestair_report::{
+    BurnReport, BurnSettings, Series, Verdict, burn_report, collect, render_html, render_text,
+};
+use agatestair_schema::SETTINGS_SCHEMA;
+use agatestair_schema::settings::CtlSettings;
+use agatestair_settings::{Definition, read_file};
+
+/// Exit code when a plan or service burns fast or slowly.
+const EXIT_BURNS: u8 = 2;
+
+mod flags {
+    #![allow(missing_docs)]
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Service-level burn report per plan and service.
+        ///
+        /// Exit codes: 0 nothing burns, 1 the report could not be made, 2 something burns fast or
+        /// slowly.
+        cmd agatestair-report {
+            /// Settings file of agatestairctl, which names the platform.
+            required --config file: PathBuf
+            /// Windows, the shortest first (default 5m,1h,6h,3d).
+            optional --windows list: String
+            /// Print JSON instead of text.
+            optional --json
+            /// Write one self-contained page as well.
+            optional --html file: PathBuf
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = flags::AgatestairReport::from_env_or_exit();
+    match make_report(&flags) {
+        Ok(report) => show(&flags, &report),
+        Err(failure) => fail(&failure),
+    }
+}
+
+fn fail(failure: &str) -> ExitCode {
+    eprintln!("agatestair-report: {failure}");
+    ExitCode::FAILURE
+}
+
+fn make_report(flags: &flags::AgatestairReport) -> Result<BurnReport, String> {
+    let windows = flags.windows.as_deref().map(parse_windows).transpose()?;
+    let definition = Definition { schema: SETTINGS_SCHEMA, name: "CtlSettings" };
+    let settings = read_file::<CtlSettings>(&flags.config, definition);
+    let settings = settings.map_err(|error| error.to_string())?.value;
+    let platform = Platform::new(&settings.platform);
+    let collected = collect(&platform).map_err(|error| error.to_string())?;
+    let defaults = BurnSettings { now_ms: unix_ms(), ..BurnSettings::default() };
+    let windows = windows.unwrap_or(defaults.windows);
+    let settings = BurnSettings { windows, now_ms: defaults.now_ms };
+    let series = Series::merge(&collected.snapshots);
+    let report = burn_report(&series, &collected.lists, &settings);
+    Ok(BurnReport { gaps: collected.gaps, ..report })
+}
+
+fn show(flags: &flags::AgatestairReport, report: &BurnReport) -> ExitCode {
+    if let Some(path) = &flags.html
+        && let Err(failure) = write_page(path, report)
+    {
+        return fail(&failure);
+    }
+    if flags.json {
+        match serde_json::to_string_pretty(report) {
+            Ok(text) => println!("{text}"),
+            Err(error) => return fail(&error.to_string()),
+        }
+    } else {
+        print!("{}", render_text(report));
+    }
+    let burns = |verdict| matches!(verdict, Verdict::FastBurn | Verdict::SlowBurn);
+    let burning = report.subjects.iter().any(|subject| burns(subject.verdict));
+    if burning { ExitCode::from(EXIT_BURNS) } else { ExitCode::SUCCESS }
+}
+
+fn write_page(path: &Path, report: &BurnReport) -> Result<(), String> {
+    let page = render_html(report).map_err(|error| error.to_string())?;
+    fs::write(path, page)
+        .map_err(|error| format!("{}: {error}; name a file that can be written", path.display()))
+}
+
+/// Parses windows such as `5m,1h`; they must rise.
+fn parse_windows(text: &str) -> Result<Vec<Duration>, String> {
+    let windows: Vec<Duration> = text.split(',').map(parse_window).collect::<Result<_, _>>()?;
+    if windows.is_sorted_by(|a, b| a < b) {
+        return Ok(windows);
+    }
+    Err(format!("`{text}`: the windows must rise; give for example 5m,1h,6h,3d"))
+}
+
+fn parse_window(text: &str) -> Result<Duration, String> {
+    let fail = || format!("`{text}` is no window; give a number with s, m, h or d, such as 5m");
+    let text = text.trim();
+    let unit = text.chars().last().ok_or_else(fail)?;
+    let seconds = match unit {
+        's' => 1,
+        'm' => 60,
+        'h' => 3600,
+        'd' => 86_400,
+        _ => return Err(fail()),
+    };
+    let count: u64 = text[..text.len() - 1].parse().map_err(|_| fail())?;
+    let seconds = count.checked_mul(seconds).filter(|seconds| *seconds > 0).ok_or_else(fail)?;
+    Ok(Duration::from_secs(seconds))
+}
+
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/report/src/plot.rs
@@ -0,0 +1,118 @@
+//! Plots of the report, as SVG.
+
+use std::error::Error;
+
+use plotters::prelude::*;
+
+use crate::burn::SubjectBurn;
+use crate::outcome::{REASONS, Reason};
+use crate::text::window_name;
+
+/// Size of a plot in pixels.
+const SIZE: (u32, u32) = (860, 230);
+/// Size of the letters in pixels.
+const FONT_PX: u32 = 13;
+/// Space for the labels left of and below the plot, in pixels.
+const LABEL_PX: u32 = 52;
+/// Labels on the axes.
+const LABELS: usize = 7;
+/// Least height of the vertical axis as a multiple of the allowed share.
+const LEAST_HEIGHT: f64 = 2.0;
+
+/// Colour of a reason, the same in plots and tables.
+pub fn colour_of(reason: Reason) -> (u8, u8, u8) {
+    match reason {
+        Reason::Late => (224, 159, 62),
+        Reason::Refused => (88, 129, 178),
+        Reason::Cut => (158, 42, 43),
+        Reason::Store => (122, 92, 160),
+        Reason::Engine => (84, 130, 88),
+    }
+}
+
+/// Draws the share of requests that missed over the longest window, stacked by reason.
+///
+/// # Errors
+///
+/// The plotting library's error.
+pub fn plot_misses(burn: &SubjectBurn, now_ms: u64) -> Result<String, Box<dyn Error>> {
+    let mut svg = String::new();
+    draw(burn, now_ms, &mut svg)?;
+    Ok(svg)
+}
+
+fn draw(burn: &SubjectBurn, now_ms: u64, svg: &mut String) -> Result<(), Box<dyn Error>> {
+    let allowed = 1.0 - burn.objective;
+    let worst = burn.plot.iter().map(|point| point.tally.miss_share()).fold(0.0, f64::max);
+    let height = (worst * 1.1).max(allowed * LEAST_HEIGHT).clamp(1e-4, 1.0) * 100.0;
+    let length = burn.windows.last().map_or(1.0, |window| seconds(window.window_s));
+    let area = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+    let mut chart = ChartBuilder::on(&area)
+        .margin(6)
+        .x_label_area_size(LABEL_PX / 2)
+        .y_label_area_size(LABEL_PX)
+        .build_cartesian_2d(-length..0.0, 0.0..height)?;
+    let font = ("sans-serif", FONT_PX);
+    chart
+        .configure_mesh()
+        .disable_x_mesh()
+        .light_line_style(TRANSPARENT)
+        .bold_line_style(RGBColor(226, 226, 222))
+        .x_labels(LABELS)
+        .y_labels(5)
+        .x_label_formatter(&|at| age_label(*at))
+        .y_label_formatter(&|share| {
+            format!("{share:.4}").trim_end_matches('0').trim_end_matches('.').to_owned() + "%"
+        })
+        .label_style(font)
+        .draw()?;
+    let bars = bars_of(burn, now_ms, length);
+    chart.draw_series(bars)?;
+    let line = [(-length, allowed * 100.0), (0.0, allowed * 100.0)];
+    chart.draw_series(LineSeries::new(line, BLACK.stroke_width(1)))?;
+    area.present()?;
+    Ok(())
+}
+
+/// Stacked bars, one stack an interval.
+fn bars_of(burn: &SubjectBurn, now_ms: u64, length: f64) -> Vec<Rectangle<(f64, f64)>> {
+    let width = length / seconds(burn.plot.len().max(1) as u64);
+    let mut bars = Vec::new();
+    for point in &burn.plot {
+        let middle = -seconds(now_ms.saturating_sub(point.at_ms)) / 1000.0;
+        let total = point.tally.total();
+        let mut base = 0.0;
+        for reason in REASONS {
+            let share = point.tally.missed_for(reason) / total * 100.0;
+            if total > 0.0 && share > 0.0 {
+                let (red, green, blue) = colour_of(reason);
+                let corners =
+                    [(middle - width * 0.45, base), (middle + width * 0.45, base + share)];
+                bars.push(Rectangle::new(corners, RGBColor(red, green, blue).filled()));
+                base += share;
+            }
+        }
+    }
+    bars
+}
+
+/// Age of a point in words.
+fn age_label(at: f64) -> String {
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let age = (-at).round().max(0.0) as u64;
+    if age == 0 { "now".to_owned() } else { format!("{} ago", window_name(round_age(age))) }
+}
+
+/// Rounds ages of over two hours to the hour, and of over two minutes to the minute.
+fn round_age(age: u64) -> u64 {
+    match age {
+        hours if hours > 7200 => (hours + 1800) / 3600 * 3600,
+        minutes if minutes > 120 => (minutes + 30) / 60 * 60,
+        age => age,
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn seconds(count: u64) -> f64 {
+    count as f64
+}
