--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -5,9 +5,11 @@
 mod key_set;
 mod pool;
 mod sent;
+mod streams;
 
 pub(crate) use endpoint::Endpoint;
-pub(crate) use health::{Health, Phase};
+pub(crate) use health::{Health, Phase, Streaming};
 pub(crate) use key_set::KeySet;
 pub(crate) use pool::{Pool, PoolKey, Route};
 pub(crate) use sent::SentHistory;
+pub(crate) use streams::Streams;
--- a/crates/policy/src/fleet/endpoint.rs
+++ b/crates/policy/src/fleet/endpoint.rs
@@ -6,7 +6,7 @@
 use agatestair_schema::link::{EndpointKind, EndpointRole, EndpointState, EndpointView};
 
 use crate::fleet::sent::OpenWork;
-use crate::fleet::{Health, Phase, PoolKey, SentHistory};
+use crate::fleet::{Health, Phase, PoolKey, SentHistory, Streaming, Streams};
 use crate::moment::Moment;
 use crate::settings::EngineModel;
 
@@ -27,6 +27,8 @@
     pub(crate) health: Health,
     /// Ratio of its pace to the pool's usual pace; at least 1.
     pub(crate) slow: f64,
+    /// Answers in progress.
+    pub(crate) streams: Streams,
     sent: SentHistory,
     /// Other entries' open attempts at the time of the report.
     others: u32,
@@ -60,6 +62,7 @@
             seen: 0,
             health: Health::default(),
             slow: 1.0,
+            streams: Streams::default(),
             sent: SentHistory::default(),
             others: 0,
             busy_until: Moment::default(),
@@ -119,6 +122,28 @@
         others + self.prefill as f64 * model.prefill_us
     }
 
+    /// Streaming that is expected to bring `tokens` tokens in `secs` seconds of one attempt.
+    pub(crate) fn streaming(
+        &self,
+        now: Moment,
+        model: &EngineModel,
+        secs: f64,
+        tokens: f64,
+    ) -> Streaming {
+        let step = model.step_us + model.sequence_us * f64::from(self.crowd());
+        let prompts = self.backlog_us(now, model).min(model.chunk_us);
+        let expected = (tokens * step + prompts) / 1e6;
+        Streaming { secs, expected, tokens }
+    }
+
+    /// Streaming since the last pieces of the answers in progress.
+    pub(crate) fn pending(&self, now: Moment, model: &EngineModel) -> Streaming {
+        let count = self.streams.count() as f64;
+        let one = self.streaming(now, model, 0.0, 1.0);
+        let secs = self.streams.pending(now);
+        Streaming { secs, expected: (one.expected * count).min(secs), tokens: 0.0 }
+    }
+
     /// Whether another attempt may be sent now.
     pub(crate) fn has_room(&self, now: Moment, model: &EngineModel) -> bool {
         let limit = match self.health.phase() {
--- a/crates/policy/src/fleet/health.rs
+++ b/crates/policy/src/fleet/health.rs
@@ -3,22 +3,23 @@
 use crate::moment::Moment;
 use crate::settings::EjectSettings;
 
-/// Time constant of the pace, in seconds of streaming.
+/// Time constant of the pace, in seconds.
 const PACE_SECS: f64 = 0.4;
 
 /// Time constant of the first tokens' delays, in observations.
 const DELAY_COUNT: f64 = 5.0;
 
-/// Evidence below which an endpoint's pace is not judged, in seconds of streaming.
+/// Evidence below which an endpoint's pace is not judged, in seconds of expected streaming.
 const MIN_EVIDENCE: f64 = 0.03;
 
 /// Failures in a row that eject an endpoint.
 const MAX_FAILURES: u32 = 2;
 
 /// Whether an endpoint gets new work.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) enum Phase {
     /// It does.
+    #[default]
     Normal,
     /// It does not until the given moment.
     Ejected(Moment),
@@ -26,44 +27,42 @@
     Probing(u32),
 }
 
+/// Streaming of answers.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Streaming {
+    /// Time that attempts spent, in seconds.
+    pub(crate) secs: f64,
+    /// Time that they should have spent, in seconds.
+    pub(crate) expected: f64,
+    /// Output tokens.
+    pub(crate) tokens: f64,
+}
+
 /// Pace and phase of one endpoint.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Health {
     phase: Phase,
-    /// Decayed time that attempts spent streaming, in seconds.
-    streamed: f64,
-    /// Decayed number of output tokens in that time.
-    tokens: f64,
-    /// Decayed sum and weight of the ratios of real to expected delay of the first token.
+    /// Decayed sums.
+    streaming: Streaming,
+    updated: Moment,
+    /// Decayed sum and weight of the ratios of real to nominal delay of the first token.
     delay: f64,
     delays: f64,
     failures: u32,
     ejections: u32,
 }
 
-impl Default for Health {
-    fn default() -> Self {
-        Self {
-            phase: Phase::Normal,
-            streamed: 0.0,
-            tokens: 0.0,
-            delay: 0.0,
-            delays: 0.0,
-            failures: 0,
-            ejections: 0,
-        }
-    }
-}
-
 impl Health {
-    /// Adds streaming time and the tokens that arrived in it.
-    pub(crate) fn note_stream(&mut self, secs: f64, tokens: f64, elapsed: f64) {
-        let decay = (-elapsed / PACE_SECS).exp();
-        self.streamed = self.streamed * decay + secs;
-        self.tokens = self.tokens * decay + tokens;
+    /// Adds the streaming of one attempt since its last piece.
+    pub(crate) fn note_streaming(&mut self, now: Moment, more: Streaming) {
+        let decay = (-now.since(self.updated).as_secs_f64() / PACE_SECS).exp();
+        self.updated = now;
+        self.streaming.secs = self.streaming.secs * decay + more.secs;
+        self.streaming.expected = self.streaming.expected * decay + more.expected;
+        self.streaming.tokens = self.streaming.tokens * decay + more.tokens;
     }
 
-    /// Adds the ratio of a first token's delay, or a call's duration, to what was expected.
+    /// Adds the ratio of a first token's delay, or a call's duration, to its nominal value.
     pub(crate) fn note_delay(&mut self, ratio: f64) {
         let decay = 1.0 - 1.0 / DELAY_COUNT;
         self.delay = self.delay * decay + ratio.clamp(0.1, 20.0);
@@ -71,12 +70,20 @@
         self.failures = 0;
     }
 
+    /// Ratio of real to expected streaming time, if there is evidence; `pending` is the streaming
+    /// that has brought no token yet.
+    pub(crate) fn pace(&self, pending: Streaming) -> Option<f64> {
+        let expected = self.streaming.expected + pending.expected;
+        (expected >= MIN_EVIDENCE).then(|| (self.streaming.secs + pending.secs) / expected)
+    }
+
     /// Seconds per output token, if there is evidence.
     pub(crate) fn gap(&self) -> Option<f64> {
-        (self.streamed >= MIN_EVIDENCE).then(|| self.streamed / (self.tokens + 0.5))
+        let enough = self.streaming.expected >= MIN_EVIDENCE && self.streaming.tokens >= 1.0;
+        enough.then(|| self.streaming.secs / self.streaming.tokens)
     }
 
-    /// Mean ratio of real to expected delays, if there is evidence.
+    /// Mean ratio of real to nominal delays, if there is evidence.
     pub(crate) fn delay(&self) -> Option<f64> {
         (self.delays >= 1.0).then(|| self.delay / self.delays)
     }
@@ -102,12 +109,8 @@
 
     /// Lets an ejected endpoint be probed, with no memory of its former pace.
     pub(crate) fn probe(&mut self) {
-        self.phase = Phase::Probing(1);
-        self.streamed = 0.0;
-        self.tokens = 0.0;
-        self.delay = 0.0;
-        self.delays = 0.0;
-        self.failures = 0;
+        let ejections = self.ejections;
+        *self = Self { phase: Phase::Probing(1), ejections, ..Self::default() };
     }
 
     /// Doubles what a probed endpoint gets, up to `full`, where it counts as recovered.
--- a/crates/policy/src/fleet/pool.rs
+++ b/crates/policy/src/fleet/pool.rs
@@ -49,6 +49,8 @@
     /// Running requests by size class.
     pub(crate) lanes: [Lane; CLASSES],
     pub(crate) drain: DrainMeter,
+    /// Usual ratio of the real to the expected streaming time.
+    pub(crate) pace: f64,
     /// Usual seconds per output token.
     pub(crate) gap: f64,
     /// Usual ratio of the real to the expected time to the first token, or of a call.
@@ -71,6 +73,7 @@
             handoff: VecDeque::new(),
             lanes: Default::default(),
             drain: DrainMeter::default(),
+            pace: 1.0,
             gap,
             delay: 1.0,
         }
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -36,7 +36,10 @@
 use crate::settings::SchedulerSettings;
 
 /// Interval at which pace, stragglers and room are looked at.
-const TICK: Duration = Duration::from_millis(10);
+const TICK: Duration = Duration::from_millis(20);
+
+/// Interval at which endpoints are looked at for room while requests wait.
+const REFRESH: Duration = Duration::from_millis(5);
 
 /// Budgets of one service.
 #[derive(Debug)]
@@ -76,6 +79,8 @@
     /// Actions to return with the next poll.
     outbox: Vec<Action>,
     scratch: Vec<EndpointKey>,
+    /// Engines of the last fleet view.
+    engines: u32,
     fleet_seen: u64,
     refreshed: Moment,
     ticked: Moment,
@@ -106,6 +111,7 @@
             behind: Vec::new(),
             outbox: Vec::new(),
             scratch: Vec::new(),
+            engines: 0,
             fleet_seen: 0,
             refreshed: Moment::default(),
             ticked: Moment::default(),
@@ -164,6 +170,8 @@
             if now.since(self.ticked) >= TICK {
                 self.observe(now);
                 self.refresh_all(now);
+            } else if now.since(self.refreshed) >= REFRESH && self.waiting() > 0 {
+                self.refresh_all(now);
             }
             self.dispatch_all(now);
             self.hedge_all(now);
@@ -175,7 +183,8 @@
 
     /// When [`Self::poll`] should be called at the latest, if nothing else happens.
     pub fn next_wake(&self, now: Moment) -> Option<Moment> {
-        (!self.requests.is_empty()).then(|| now + TICK)
+        let interval = if self.waiting() > 0 { REFRESH } else { TICK };
+        (!self.requests.is_empty()).then(|| now + interval)
     }
 
     /// Notes that `tokens` output tokens arrived for an attempt.
--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -40,9 +40,7 @@
 
     fn refill_accounts(&mut self, now: Moment) {
         let split = self.kind_split();
-        let engines = self.endpoints.values().filter(|e| e.view.kind == EndpointKind::Engine);
-        let local = u32::try_from(engines.count()).unwrap_or(u32::MAX);
-        let fleet = self.plans.engines(local) * self.efficiency();
+        let fleet = self.plans.engines(self.engines) * self.efficiency();
         let safe = self.plans.safe_share();
         for plan in self.plans.iter_mut() {
             let rate = plan.fleet_share * plan.account.share(now, safe) * fleet;
@@ -197,9 +195,7 @@
             first: None,
             expected: choice.expected,
             cancelled: false,
-            disturbed: false,
-            counted: now,
-            fresh: 0,
+            streaming: None,
             charge: 0.0,
         });
         request.live.push(attempt);
--- a/crates/policy/src/scheduler/fleet_update.rs
+++ b/crates/policy/src/scheduler/fleet_update.rs
@@ -40,6 +40,8 @@
             }
         }
         self.drop_unseen();
+        let engines = self.endpoints.values().filter(|e| e.view.kind == EndpointKind::Engine);
+        self.engines = u32::try_from(engines.count()).unwrap_or(u32::MAX);
         self.count_serving();
         self.refresh_all(now);
     }
--- a/crates/policy/src/scheduler/observe.rs
+++ b/crates/policy/src/scheduler/observe.rs
@@ -10,54 +10,19 @@
 /// Weight of the delays of first tokens and calls, which vary more than the pace of answers.
 const DELAY_WEIGHT: f64 = 0.7;
 
-/// Streaming time and tokens of one endpoint since the last look.
-#[derive(Clone, Copy, Debug, Default)]
-struct Streamed {
-    secs: f64,
-    tokens: f64,
-}
-
 impl Scheduler {
     /// Updates the pace of all endpoints and ejects or re-admits them.
     pub(crate) fn observe(&mut self, now: Moment) {
-        let elapsed = now.since(self.ticked).as_secs_f64().min(1.0);
         self.ticked = now;
-        self.collect_streams(now, elapsed);
         let pools: Vec<PoolKey> = self.pools.keys().collect();
         for pool in pools {
-            self.update_usual(pool);
+            self.update_usual(now, pool);
             self.judge_members(now, pool);
         }
     }
 
-    /// Adds up the streaming since the last look, without the time when the endpoint had prompts
-    /// to process as well.
-    fn collect_streams(&mut self, now: Moment, elapsed: f64) {
-        let mut streams = slotmap::SecondaryMap::<EndpointKey, Streamed>::new();
-        for attempt in self.attempts.values_mut() {
-            let Some(endpoint) = self.endpoints.get(attempt.endpoint) else { continue };
-            let prompts = endpoint.backlog_us(now, &self.settings.engine) > 0.0;
-            let disturbed = std::mem::replace(&mut attempt.disturbed, prompts) || prompts;
-            let secs = now.since(attempt.counted).as_secs_f64();
-            let tokens = std::mem::take(&mut attempt.fresh);
-            attempt.counted = now;
-            if attempt.first.is_none() || disturbed {
-                continue;
-            }
-            if let Some(entry) = streams.entry(attempt.endpoint) {
-                let sum = entry.or_default();
-                sum.secs += secs;
-                sum.tokens += f64::from(tokens);
-            }
-        }
-        for (key, endpoint) in &mut self.endpoints {
-            let streamed = streams.get(key).copied().unwrap_or_default();
-            endpoint.health.note_stream(streamed.secs, streamed.tokens, elapsed);
-        }
-    }
-
     /// Updates the usual pace of a pool: the median over its endpoints.
-    fn update_usual(&mut self, pool: PoolKey) {
+    fn update_usual(&mut self, now: Moment, pool: PoolKey) {
         let pool = &mut self.pools[pool];
         let members = pool.members.iter().filter_map(|key| self.endpoints.get(*key));
         let mut gaps: Vec<f64> = members.filter_map(|e| e.health.gap()).collect();
@@ -65,6 +30,12 @@
             pool.gap = gap;
         }
         let members = pool.members.iter().filter_map(|key| self.endpoints.get(*key));
+        let mut paces: Vec<f64> =
+            members.filter_map(|e| e.health.pace(e.pending(now, &self.settings.engine))).collect();
+        if let Some(pace) = median(&mut paces) {
+            pool.pace = pace;
+        }
+        let members = pool.members.iter().filter_map(|key| self.endpoints.get(*key));
         let mut delays: Vec<f64> = members.filter_map(|e| e.health.delay()).collect();
         if let Some(delay) = median(&mut delays) {
             pool.delay = delay;
@@ -74,9 +45,10 @@
     fn judge_members(&mut self, now: Moment, pool: PoolKey) {
         for index in 0..self.pools[pool].members.len() {
             let key = self.pools[pool].members[index];
-            let gap = self.pools[pool].gap.max(1e-6);
+            let usual_pace = self.pools[pool].pace.max(1e-3);
             let Some(endpoint) = self.endpoints.get_mut(key) else { continue };
-            let pace = endpoint.health.gap().map(|own| own / gap);
+            let pending = endpoint.pending(now, &self.settings.engine);
+            let pace = endpoint.health.pace(pending).map(|pace| pace / usual_pace);
             let usual = self.pools[pool].delay.max(1e-3);
             let delay = endpoint.health.delay().map(|delay| delay / usual * DELAY_WEIGHT);
             let ratio = pace.into_iter().chain(delay).fold(1.0, f64::max);
--- a/crates/policy/src/scheduler/outcome.rs
+++ b/crates/policy/src/scheduler/outcome.rs
@@ -15,14 +15,11 @@
     pub(crate) fn piece_arrived(&mut self, now: Moment, key: AttemptKey, tokens: u32) {
         let Some(attempt) = self.attempts.get_mut(key) else { return };
         attempt.tokens += tokens;
-        attempt.fresh += tokens;
         let endpoint = attempt.endpoint;
         let request = attempt.request;
         let first = attempt.first.is_none();
         if first {
             attempt.first = Some(now);
-            attempt.counted = now;
-            attempt.fresh = 0;
         }
         if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
             endpoint.tokens += u64::from(tokens);
@@ -30,6 +27,7 @@
         if first {
             self.first_arrived(now, key);
         }
+        self.note_stream(now, key, tokens);
         let reached = self.attempts[key].reached();
         let Some(request_state) = self.requests.get_mut(request) else { return };
         request_state.tokens = request_state.tokens.max(reached);
@@ -43,6 +41,33 @@
         }
     }
 
+    /// Counts the streaming since the last piece.
+    fn note_stream(&mut self, now: Moment, key: AttemptKey, tokens: u32) {
+        let attempt = &mut self.attempts[key];
+        let Some(endpoint) = self.endpoints.get_mut(attempt.endpoint) else { return };
+        if attempt.cancelled {
+            return;
+        }
+        let Some(last) = attempt.streaming.replace(now) else {
+            endpoint.streams.add(now);
+            return;
+        };
+        endpoint.streams.advance(last, now);
+        let secs = now.since(last).as_secs_f64();
+        let model = &self.settings.engine;
+        let streaming = endpoint.streaming(now, model, secs, f64::from(tokens));
+        endpoint.health.note_streaming(now, streaming);
+    }
+
+    /// Stops counting an attempt as streaming.
+    fn end_stream(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get_mut(key) else { return };
+        let Some(last) = attempt.streaming.take() else { return };
+        if let Some(endpoint) = self.endpoints.get_mut(attempt.endpoint) {
+            endpoint.streams.remove(last);
+        }
+    }
+
     /// Updates load, pace and cache map at the first token of an attempt.
     fn first_arrived(&mut self, now: Moment, key: AttemptKey) {
         self.release_prefill(now, key);
@@ -117,6 +142,7 @@
         if let Some(attempt) = self.attempts.get_mut(key).filter(|attempt| !attempt.cancelled) {
             attempt.cancelled = true;
             self.outbox.push(Action::Cancel { attempt: key });
+            self.end_stream(key);
         }
     }
 
@@ -147,6 +173,7 @@
         }
         self.release_prefill(now, key);
         self.refund_hedge(key);
+        self.end_stream(key);
         let Some(attempt) = self.attempts.remove(key) else { return };
         self.release_endpoint(now, &attempt, end);
         let Some(request) = self.requests.get_mut(attempt.request) else { return };
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -95,12 +95,8 @@
     /// Nominal time to the first token or the call's answer, in seconds.
     pub(crate) expected: f64,
     pub(crate) cancelled: bool,
-    /// Whether the endpoint had other prompts to process when its streaming was last looked at.
-    pub(crate) disturbed: bool,
-    /// Up to when its streaming was counted.
-    pub(crate) counted: Moment,
-    /// Tokens since then.
-    pub(crate) fresh: u32,
+    /// When its last piece arrived, while it counts as streaming.
+    pub(crate) streaming: Option<Moment>,
     /// Budget taken for its output and not given back, in seconds of engine time.
     pub(crate) charge: f64,
 }
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -52,6 +52,8 @@
     pub step_us: f64,
     /// Time that each sequence adds to a decode step, in microseconds.
     pub sequence_us: f64,
+    /// Longest time that prompts add to a decode step, in microseconds.
+    pub chunk_us: f64,
     /// Sequences that an engine decodes side by side.
     pub slots: u32,
     /// Calls that a plain service works on side by side.
@@ -72,6 +74,7 @@
             prefill_us: 15.0,
             step_us: 8_000.0,
             sequence_us: 150.0,
+            chunk_us: 30_000.0,
             slots: 32,
             call_slots: 64,
             block_tokens: 4096,
