Stand-ins: row versions rise by one each, endpoints may be listed under a proxy's ports

The table client tells an overwritten row by its version, so versions must rise by one with each write of that row; they came from one counter of the whole table before.

--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -103,8 +103,13 @@
             let address = self.address(group.first_port, index);
             let name = format!("{}{}", group.prefix, index + 1);
             let domain = pick(&group.domains, index);
-            let place =
-                Place { name: &name, service: &group.service, region: &group.region, address };
+            let listed = self.listed(group.first_port, group.listed_port, index);
+            let place = Place {
+                name: &name,
+                service: &group.service,
+                region: &group.region,
+                address: listed,
+            };
             self.list(place, domain, InstanceKind::Engine);
             self.start_engine(group, name, address, seed.wrapping_add(u64::from(index)))?;
         }
@@ -170,8 +175,13 @@
             let address = self.address(group.first_port, index);
             let name = format!("{}{}", group.prefix, index + 1);
             let domain = pick(&group.domains, index);
-            let place =
-                Place { name: &name, service: &group.service, region: &group.region, address };
+            let listed = self.listed(group.first_port, group.listed_port, index);
+            let place = Place {
+                name: &name,
+                service: &group.service,
+                region: &group.region,
+                address: listed,
+            };
             self.list(place, domain, InstanceKind::Service);
             let endpoint = Arc::new(PlainEndpoint {
                 reports: Reports::new(plain_report(&name, 0), PLAIN_REPORT_LAG),
@@ -244,6 +254,11 @@
         SocketAddr::new(self.ip, first_port.saturating_add(offset))
     }
 
+    /// Address under which the platform lists an endpoint.
+    fn listed(&self, first_port: u16, listed_port: u16, index: u32) -> SocketAddr {
+        self.address(if listed_port == 0 { first_port } else { listed_port }, index)
+    }
+
     fn list(&mut self, place: Place<'_>, domain: String, kind: InstanceKind) {
         self.instances.insert(InstanceRecord {
             address: place.address.to_string(),
--- a/crates/standins/src/platform/table.rs
+++ b/crates/standins/src/platform/table.rs
@@ -8,8 +8,9 @@
 /// Attempts whose results are remembered.
 const KEPT_ATTEMPTS: usize = 100_000;
 
+/// A row; one that was deleted keeps its version, which never goes down.
 struct StoredRow {
-    value: String,
+    value: Option<String>,
     version: u64,
     expires: Option<Instant>,
 }
@@ -29,7 +30,6 @@
 #[derive(Default)]
 pub struct Table {
     rows: BTreeMap<String, StoredRow>,
-    version: u64,
     results: HashMap<String, Committed>,
     order: VecDeque<String>,
 }
@@ -64,7 +64,7 @@
     }
 
     fn live(&self, key: &str) -> Option<&StoredRow> {
-        self.rows.get(key).filter(|row| is_live(row))
+        self.rows.get(key).filter(|row| row.is_live())
     }
 
     fn version(&self, key: &str) -> u64 {
@@ -76,21 +76,16 @@
     }
 
     fn write(&mut self, write: &Write) -> Row {
-        let Some(value) = &write.value else {
-            self.rows.remove(&write.key);
-            return absent(&write.key);
-        };
-        self.version += 1;
+        let version = self.rows.get(&write.key).map_or(0, |row| row.version) + 1;
         let expires = write.ttl_ms.map(|ttl| Instant::now() + Duration::from_millis(ttl));
-        let row = StoredRow { value: value.clone(), version: self.version, expires };
+        let row = StoredRow { value: write.value.clone(), version, expires };
         self.rows.insert(write.key.clone(), row);
-        Row { key: write.key.clone(), value: value.clone(), version: self.version }
+        self.row(&write.key).unwrap_or_else(|| absent(&write.key))
     }
 
     /// The row of a key.
     pub fn row(&self, key: &str) -> Option<Row> {
-        let row = self.live(key)?;
-        Some(Row { key: key.to_owned(), value: row.value.clone(), version: row.version })
+        self.live(key)?.to_wire(key)
     }
 
     /// The rows whose keys start with `prefix`, in order of key.
@@ -98,18 +93,21 @@
         let range = self.rows.range(prefix.to_owned()..);
         range
             .take_while(|(key, _)| key.starts_with(prefix))
-            .filter(|(_, row)| is_live(row))
-            .map(|(key, row)| Row {
-                key: key.clone(),
-                value: row.value.clone(),
-                version: row.version,
-            })
+            .filter(|(_, row)| row.is_live())
+            .filter_map(|(key, row)| row.to_wire(key))
             .collect()
     }
 }
 
-fn is_live(row: &StoredRow) -> bool {
-    row.expires.is_none_or(|expires| Instant::now() < expires)
+impl StoredRow {
+    fn is_live(&self) -> bool {
+        self.value.is_some() && self.expires.is_none_or(|expires| Instant::now() < expires)
+    }
+
+    fn to_wire(&self, key: &str) -> Option<Row> {
+        let value = self.value.clone()?;
+        Some(Row { key: key.to_owned(), value, version: self.version })
+    }
 }
 
 fn absent(key: &str) -> Row {
