Testbed: deployments of real processes, example lists of both users

Ports come in blocks below the dialled range, each locked by a listener, so that deployments side by side do not take each other's. Children are killed on drop, and by a small process when their owner ends in any other way.

--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,1 +1,27 @@
 //! Starts deployments of real processes and stand-ins for tests, the demo and experiments.
+//!
+//! [`Testbed::start`] writes settings for the processes of a [`Layout`], starts them, and waits
+//! until they are ready. They end when the [`Testbed`] is dropped, and also when its process ends
+//! in any other way.
+
+mod child;
+mod client;
+mod deployment;
+mod error;
+mod layout;
+mod lists;
+mod options;
+mod ports;
+mod reaper;
+mod settings_files;
+
+pub use child::{ChildCommand, ChildProcess, binary_folder};
+pub use client::Client;
+pub use deployment::{Instance, Testbed};
+pub use error::TestbedError;
+pub use layout::{EngineSpeed, Layout, LayoutCustomer};
+pub use lists::{parse_lists, write_lists};
+pub use options::{TestbedOptions, Timing};
+pub use ports::{PortBlock, address};
+pub use reaper::run as run_reaper;
+pub use settings_files::{AddressPlan, InstancePlan};
--- /dev/null
+++ b/crates/testbed/src/main.rs
@@ -0,0 +1,136 @@
+//! `agatestair-testbed`: keeps a deployment of real processes up.
+
+use std::io::{self, Read};
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Sender, channel};
+use std::thread;
+
+use agatestair_schema::settings::PolicyName;
+use agatestair_testbed::{Layout, Testbed, TestbedError, TestbedOptions, run_reaper};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+/// Exit code after a signal during the start.
+const INTERRUPTED: i32 = 130;
+
+mod flags {
+    #![allow(missing_docs)]
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Deployments of real processes and stand-ins.
+        cmd agatestair-testbed {
+            /// Keeps a deployment up until the standard input closes or a signal comes.
+            cmd up {
+                /// `lexicon` or `fitline`.
+                required --deployment name: String
+                /// Number of entry instances (7).
+                optional --entries count: usize
+                /// Number of engines (that of the deployment).
+                optional --engines count: u32
+                /// `own`, `round_robin` or `least_reported`.
+                optional --policy policy: String
+                /// Seed of the stand-ins (1).
+                optional --seed seed: u64
+                /// Reach everything through the fault proxy.
+                optional --proxied
+                /// Have the processes log details, and keep their logs.
+                optional --verbose
+                /// File to which the description of the deployment is written.
+                required --out out: PathBuf
+            }
+            /// Ends the processes whose ids come on the standard input once that closes.
+            cmd reap {}
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match flags::AgatestairTestbed::from_env_or_exit().subcommand {
+        flags::AgatestairTestbedCmd::Reap(_) => {
+            run_reaper();
+            ExitCode::SUCCESS
+        }
+        flags::AgatestairTestbedCmd::Up(flags) => match up(&flags) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(problem) => {
+                eprintln!("{problem}");
+                ExitCode::FAILURE
+            }
+        },
+    }
+}
+
+fn up(flags: &flags::Up) -> Result<(), String> {
+    let (sender, ended) = channel();
+    let started = Arc::new(AtomicBool::new(false));
+    watch_signals(sender.clone(), started.clone()).map_err(|error| error.to_string())?;
+    watch_input(sender);
+    let options = options(flags)?;
+    let mut testbed = Testbed::start(options).map_err(|error| error.to_string())?;
+    if flags.verbose {
+        testbed.keep_folder();
+    }
+    started.store(true, Ordering::SeqCst);
+    write_description(&testbed, &flags.out).map_err(|error| error.to_string())?;
+    // An error means that both watchers are gone, which ends the deployment too.
+    let _ = ended.recv();
+    Ok(())
+}
+
+fn options(flags: &flags::Up) -> Result<TestbedOptions, String> {
+    let mut layout = Layout::named(&flags.deployment).ok_or_else(|| {
+        format!("`{}` is not a deployment; give lexicon or fitline", flags.deployment)
+    })?;
+    layout.engines = flags.engines.unwrap_or(layout.engines);
+    let defaults = TestbedOptions::default();
+    let policy = flags.policy.as_deref().unwrap_or("own").replace('-', "_");
+    let policy = policy.parse::<PolicyName>().map_err(|_| {
+        format!("`{policy}` is not a policy; give own, round_robin or least_reported")
+    })?;
+    Ok(TestbedOptions {
+        layout,
+        entries: flags.entries.unwrap_or(defaults.entries),
+        policy,
+        proxied: flags.proxied,
+        seed: flags.seed.unwrap_or(defaults.seed),
+        verbose: flags.verbose,
+        ..defaults
+    })
+}
+
+/// Writes the description in one step, so that a reader sees it whole or not at all.
+fn write_description(testbed: &Testbed, out: &Path) -> Result<(), TestbedError> {
+    let deployment = testbed.describe()?;
+    let text = serde_json::to_string_pretty(&deployment).unwrap_or_default();
+    let part = out.with_extension("part");
+    let written = std::fs::write(&part, text).and_then(|()| std::fs::rename(&part, out));
+    written.map_err(|cause| TestbedError::io(out.display().to_string(), cause))
+}
+
+/// A signal ends the deployment; during the start it ends this process, and so all others.
+fn watch_signals(sender: Sender<()>, started: Arc<AtomicBool>) -> io::Result<()> {
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    thread::spawn(move || {
+        if signals.forever().next().is_some() {
+            if !started.load(Ordering::SeqCst) {
+                std::process::exit(INTERRUPTED);
+            }
+            // The deployment may have ended by itself.
+            let _ = sender.send(());
+        }
+    });
+    Ok(())
+}
+
+fn watch_input(sender: Sender<()>) {
+    thread::spawn(move || {
+        let mut buffer = [0; 64];
+        while io::stdin().read(&mut buffer).is_ok_and(|count| count > 0) {}
+        // The deployment may have ended by itself.
+        let _ = sender.send(());
+    });
+}
--- /dev/null
+++ b/crates/testbed/src/ports.rs
@@ -0,0 +1,77 @@
+//! Blocks of ports for one deployment.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use crate::error::TestbedError;
+
+/// First port of the first block; the range lies below the ports that systems give to dialled
+/// connections, so that none of them takes a reserved port.
+const FIRST_PORT: u16 = 10_000;
+/// Ports in a block.
+const BLOCK_PORTS: u16 = 200;
+/// Number of blocks.
+const BLOCKS: u16 = 110;
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// Ports reserved for one deployment.
+///
+/// A listener on the first port of the block keeps other processes from reserving it.
+pub struct PortBlock {
+    _lock: TcpListener,
+    next: u16,
+    end: u16,
+}
+
+impl PortBlock {
+    /// Reserves a block in which every port is free.
+    ///
+    /// # Errors
+    ///
+    /// [`TestbedError::NoPorts`] if every block is taken.
+    pub fn reserve() -> Result<Self, TestbedError> {
+        let start =
+            std::process::id().wrapping_mul(7).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        for attempt in 0..u32::from(BLOCKS) {
+            let block = u16::try_from(start.wrapping_add(attempt) % u32::from(BLOCKS)).unwrap_or(0);
+            let first = FIRST_PORT + block * BLOCK_PORTS;
+            if let Some(lock) = lock_block(first) {
+                return Ok(Self { _lock: lock, next: first + 1, end: first + BLOCK_PORTS });
+            }
+        }
+        Err(TestbedError::NoPorts)
+    }
+
+    /// Takes the next `count` ports; returns the first.
+    ///
+    /// # Errors
+    ///
+    /// [`TestbedError::NoPorts`] if the block is used up.
+    pub fn take(&mut self, count: u16) -> Result<u16, TestbedError> {
+        let first = self.next;
+        let next = first.checked_add(count).filter(|next| *next <= self.end);
+        self.next = next.ok_or(TestbedError::NoPorts)?;
+        Ok(first)
+    }
+
+    /// Takes the next port as an address.
+    ///
+    /// # Errors
+    ///
+    /// [`TestbedError::NoPorts`] if the block is used up.
+    pub fn take_address(&mut self) -> Result<String, TestbedError> {
+        Ok(address(self.take(1)?))
+    }
+}
+
+/// Address of a port of this machine.
+pub fn address(port: u16) -> String {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port)).to_string()
+}
+
+fn lock_block(first: u16) -> Option<TcpListener> {
+    let lock = TcpListener::bind((Ipv4Addr::LOCALHOST, first)).ok()?;
+    let free = |port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok();
+    (first + 1..first + BLOCK_PORTS).all(free).then_some(lock)
+}
--- /dev/null
+++ b/crates/testbed/src/settings_files.rs
@@ -0,0 +1,303 @@
+//! Settings files of a deployment's processes.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use agatestair_schema::settings::{
+    ControlSettings, CtlSettings, EntrySettings, InstanceRecord, InstanceSettings, LinkSettings,
+    LogFormat, LogLevel, LogSettings, PlatformSettings, ProxySettings, RouteSettings,
+    ServiceSettings, StandinSettings,
+};
+use serde::Serialize;
+
+use crate::error::TestbedError;
+use crate::layout::{DOMAINS, Layout};
+use crate::options::TestbedOptions;
+use crate::ports::{PortBlock, address};
+
+/// Key of the links of test deployments.
+const LINK_KEY: &str = "test-link-key-of-the-testbed-0001";
+
+/// Addresses of one entry instance.
+#[derive(Clone, Debug)]
+pub struct InstancePlan {
+    /// Name of the instance.
+    pub name: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Address that the entry listens on.
+    pub listen: String,
+    /// Address that callers use.
+    pub address: String,
+    /// Address that the control process listens on for links.
+    pub control_listen: String,
+    /// Address that the other instances dial.
+    pub control: String,
+    /// Address of the operators' interface.
+    pub admin: String,
+    /// Address of the platform for this instance.
+    pub platform: String,
+}
+
+/// Addresses of a deployment.
+#[derive(Clone, Debug)]
+pub struct AddressPlan {
+    /// Platform.
+    pub platform: String,
+    /// Recorder.
+    pub recorder: String,
+    /// Control interface of the proxy; empty for none.
+    pub proxy: String,
+    /// First port of the engines.
+    pub engines: u16,
+    /// First port under which engines are listed.
+    pub engines_listed: u16,
+    /// First port of the plain service.
+    pub plain: u16,
+    /// First port under which the plain service is listed.
+    pub plain_listed: u16,
+    /// Entry instances.
+    pub instances: Vec<InstancePlan>,
+}
+
+impl AddressPlan {
+    /// Takes the ports of a deployment from a block.
+    ///
+    /// # Errors
+    ///
+    /// [`TestbedError::NoPorts`] if the block is too small.
+    pub fn new(options: &TestbedOptions, ports: &mut PortBlock) -> Result<Self, TestbedError> {
+        let layout = &options.layout;
+        let engines = u16::try_from(layout.engines).unwrap_or(u16::MAX);
+        let plain = u16::try_from(layout.plain).unwrap_or(u16::MAX);
+        let mut plan = Self {
+            platform: ports.take_address()?,
+            recorder: ports.take_address()?,
+            proxy: String::new(),
+            engines: ports.take(engines)?,
+            engines_listed: 0,
+            plain: ports.take(plain)?,
+            plain_listed: 0,
+            instances: Vec::new(),
+        };
+        if options.proxied {
+            plan.proxy = ports.take_address()?;
+            plan.engines_listed = ports.take(engines)?;
+            plan.plain_listed = ports.take(plain)?;
+        }
+        for index in 0..options.entries {
+            let instance = plan.instance(options, index, ports)?;
+            plan.instances.push(instance);
+        }
+        Ok(plan)
+    }
+
+    fn instance(
+        &self,
+        options: &TestbedOptions,
+        index: usize,
+        ports: &mut PortBlock,
+    ) -> Result<InstancePlan, TestbedError> {
+        let listen = ports.take_address()?;
+        let control_listen = ports.take_address()?;
+        let admin = ports.take_address()?;
+        let mut plan = InstancePlan {
+            name: format!("entry-{}", index + 1),
+            domain: options.layout.domains[index % DOMAINS].to_owned(),
+            address: listen.clone(),
+            control: control_listen.clone(),
+            platform: self.platform.clone(),
+            listen,
+            control_listen,
+            admin,
+        };
+        if options.proxied {
+            plan.address = ports.take_address()?;
+            plan.control = ports.take_address()?;
+            plan.platform = ports.take_address()?;
+        }
+        Ok(plan)
+    }
+
+    /// Settings of the fault proxy.
+    pub fn proxy_settings(&self, layout: &Layout) -> ProxySettings {
+        let mut routes = Vec::new();
+        let mut add = |name: String, listen: &str, target: &str| {
+            routes.push(RouteSettings {
+                name,
+                listen: listen.to_owned(),
+                target: target.to_owned(),
+            });
+        };
+        for index in 0..layout.engines {
+            let name = format!("endpoint/{}-{}", layout.models_service, index + 1);
+            let offset = u16::try_from(index).unwrap_or(0);
+            add(name, &address(self.engines_listed + offset), &address(self.engines + offset));
+        }
+        for index in 0..layout.plain {
+            let name = format!("endpoint/{}-{}", layout.plain_service, index + 1);
+            let offset = u16::try_from(index).unwrap_or(0);
+            add(name, &address(self.plain_listed + offset), &address(self.plain + offset));
+        }
+        for instance in &self.instances {
+            let name = &instance.name;
+            add(format!("caller/{name}"), &instance.address, &instance.listen);
+            add(format!("link/{name}"), &instance.control, &instance.control_listen);
+            add(format!("platform/{name}"), &instance.platform, &self.platform);
+        }
+        ProxySettings { control: self.proxy.clone(), routes, log: None }
+    }
+
+    /// Settings of the stand-ins.
+    pub fn standin_settings(&self, options: &TestbedOptions) -> StandinSettings {
+        let layout = &options.layout;
+        let entries = self.instances.iter().map(|instance| InstanceRecord {
+            name: instance.name.clone(),
+            domain: instance.domain.clone(),
+            region: layout.region.to_owned(),
+            address: instance.address.clone(),
+            control: instance.control.clone(),
+        });
+        StandinSettings {
+            platform: self.platform.clone(),
+            record: self.recorder.clone(),
+            seed: options.seed,
+            list_lag: options.list_lag,
+            weights_s: 4.0,
+            engines: vec![layout.engine_settings(self.engines, self.engines_listed)],
+            services: vec![layout.plain_settings(self.plain, self.plain_listed)],
+            entries: entries.collect(),
+            log: None,
+        }
+    }
+
+    /// Settings of the entry of an instance.
+    pub fn entry_settings(
+        &self,
+        options: &TestbedOptions,
+        instance: &InstancePlan,
+    ) -> EntrySettings {
+        let timing = options.timing;
+        EntrySettings {
+            instance: identity(options, instance),
+            listen: instance.listen.clone(),
+            control: instance.control_listen.clone(),
+            platform: platform(&instance.platform),
+            link: Some(link(options)),
+            log: Some(log(options)),
+            services: services(&options.layout),
+            policy: options.policy,
+            answer_ms: timing.answer_ms,
+            patience_ms: timing.patience_ms,
+            stale_ms: timing.stale_ms,
+            disabled: options.disabled.clone(),
+            ..entry_defaults()
+        }
+    }
+
+    /// Settings of the control process of an instance.
+    pub fn control_settings(
+        &self,
+        options: &TestbedOptions,
+        instance: &InstancePlan,
+    ) -> ControlSettings {
+        let timing = options.timing;
+        ControlSettings {
+            instance: identity(options, instance),
+            listen: instance.control_listen.clone(),
+            entry: instance.address.clone(),
+            admin: instance.admin.clone(),
+            platform: platform(&instance.platform),
+            link: Some(link(options)),
+            log: Some(log(options)),
+            services: services(&options.layout),
+            poll_ms: timing.poll_ms,
+            lists_ms: timing.lists_ms,
+            lease_ms: timing.lease_ms,
+            margin_ms: timing.margin_ms,
+            patience_ms: timing.patience_ms,
+            plan_roles: options.plan_roles,
+            disabled: options.disabled.clone(),
+            ..control_defaults()
+        }
+    }
+
+    /// Settings of the operators' command line.
+    pub fn ctl_settings(&self) -> CtlSettings {
+        CtlSettings {
+            platform: platform(&self.platform),
+            operator: "testbed".to_owned(),
+            instances: self.instances.iter().map(|instance| instance.admin.clone()).collect(),
+        }
+    }
+}
+
+/// Settings of an entry with their defaults.
+fn entry_defaults() -> EntrySettings {
+    let text = r#"{
+        "instance": { "name": "", "domain": "", "region": "" },
+        "listen": "", "control": "", "platform": { "address": "" }, "services": []
+    }"#;
+    serde_json::from_str(text).expect("the required names of the settings are all given")
+}
+
+/// Settings of a control process with their defaults.
+fn control_defaults() -> ControlSettings {
+    let text = r#"{
+        "instance": { "name": "", "domain": "", "region": "" },
+        "listen": "", "entry": "", "platform": { "address": "" }, "services": []
+    }"#;
+    serde_json::from_str(text).expect("the required names of the settings are all given")
+}
+
+fn identity(options: &TestbedOptions, instance: &InstancePlan) -> InstanceSettings {
+    InstanceSettings {
+        name: instance.name.clone(),
+        domain: instance.domain.clone(),
+        region: options.layout.region.to_owned(),
+    }
+}
+
+fn platform(address: &str) -> PlatformSettings {
+    let text = serde_json::json!({ "address": address });
+    serde_json::from_value(text).expect("the required names of the settings are all given")
+}
+
+fn link(options: &TestbedOptions) -> LinkSettings {
+    let timing = options.timing;
+    LinkSettings {
+        key: LINK_KEY.to_owned(),
+        ping_ms: timing.ping_ms,
+        timeout_ms: timing.link_timeout,
+        ..LinkSettings::default()
+    }
+}
+
+fn log(options: &TestbedOptions) -> LogSettings {
+    let level = if options.verbose { LogLevel::Debug } else { LogLevel::Info };
+    LogSettings { format: LogFormat::Text, level }
+}
+
+fn services(layout: &Layout) -> Vec<ServiceSettings> {
+    vec![
+        ServiceSettings { name: layout.models_service.to_owned(), fenced: layout.fenced },
+        ServiceSettings { name: layout.plain_service.to_owned(), fenced: false },
+    ]
+}
+
+/// Writes settings as JSON; returns the path.
+///
+/// # Errors
+///
+/// [`TestbedError::Io`] if the file cannot be written.
+pub fn write_settings<T: Serialize>(
+    folder: &Path,
+    name: &str,
+    settings: &T,
+) -> Result<PathBuf, TestbedError> {
+    let path = folder.join(format!("{name}.jsonc"));
+    let text = serde_json::to_string_pretty(settings).unwrap_or_default();
+    let written = fs::write(&path, text);
+    written.map_err(|cause| TestbedError::io(path.display().to_string(), cause))?;
+    Ok(path)
+}
