Fault matrix: cells of every fault at every step, checked by what the stand-ins recorded

Entry killed at claim left two keyed writes with the outcome unknown: the dead entry's claim stands and the service has not seen the key, so neither a second run nor 'not run' would be safe. That outcome is truthful; the check allows it for killed entries only. The binary of the stand-ins is built by the tests themselves.

--- a/crates/standins/src/engine/api.rs
+++ b/crates/standins/src/engine/api.rs
@@ -171,6 +171,9 @@
 
     fn order(&self, connection: Connection) -> Option<Connection> {
         let order: Order = self.parse(&connection)?;
+        if self.shared.faults.take(|faults| &mut faults.hold_orders) {
+            self.shared.recorder.hold(&self.shared.name, "order", &order.id);
+        }
         let (reply, answer) = channel();
         self.commands.send(Command::Order(Box::new(order), reply)).ok()?;
         let reply = answer.recv().ok()?;
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -190,6 +190,9 @@
             let message = "the body is not an order; see the endpoint schema";
             return keep(connection, |c| c.refuse(400, "invalid_body", message, ""));
         };
+        if self.faults.take(|faults| &mut faults.hold_orders) {
+            self.recorder.hold(&self.name, "order", &order.id);
+        }
         let (result, detail) = match order.kind {
             OrderKind::Drain => (OrderResult::Done, "takes no new calls"),
             OrderKind::Resume => (OrderResult::Done, "takes calls"),
--- a/crates/testbed/src/child.rs
+++ b/crates/testbed/src/child.rs
@@ -138,6 +138,21 @@
     command.folder.join(format!("{}.log", command.name))
 }
 
+/// Builds all binaries of the workspace, for tests; cargo names itself in the environment.
+///
+/// # Errors
+///
+/// [`TestbedError::Io`] if the build cannot be run or fails.
+pub fn build_binaries() -> Result<(), TestbedError> {
+    let Some(cargo) = std::env::var_os("CARGO") else {
+        return Ok(());
+    };
+    let status = Command::new(cargo).args(["build", "--quiet", "--workspace", "--bins"]).status();
+    let status = status.map_err(|cause| TestbedError::io("cargo build", cause))?;
+    let failed = || TestbedError::io("cargo build", std::io::Error::other("the build failed"));
+    status.success().then_some(()).ok_or_else(failed)
+}
+
 /// Folder of the binaries: beside the current one, or above it for a test.
 ///
 /// # Errors
--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -134,9 +134,8 @@
     ///
     /// [`TestbedError`] if it cannot be started or does not become ready.
     pub fn restart_entry(&mut self, index: usize) -> Result<(), TestbedError> {
-        self.instances[index].entry.kill();
+        self.spawn_entry(index)?;
         let plan = self.instances[index].plan.clone();
-        self.instances[index].entry = self.start_entry(&plan)?;
         self.wait_healthy(&plan.name, &plan.listen, "/readyz")
     }
 
@@ -146,10 +145,33 @@
     ///
     /// [`TestbedError`] if it cannot be started or does not become ready.
     pub fn restart_control(&mut self, index: usize) -> Result<(), TestbedError> {
+        self.spawn_control(index)?;
+        let plan = self.instances[index].plan.clone();
+        self.wait_healthy(&format!("{}-control", plan.name), &plan.admin, "/readyz")
+    }
+
+    /// Ends the control process of an instance and starts it anew without waiting for it.
+    ///
+    /// # Errors
+    ///
+    /// [`TestbedError`] if it cannot be started.
+    pub fn spawn_control(&mut self, index: usize) -> Result<(), TestbedError> {
         self.instances[index].control.kill();
         let plan = self.instances[index].plan.clone();
         self.instances[index].control = self.start_control(&plan)?;
-        self.wait_healthy(&format!("{}-control", plan.name), &plan.admin, "/readyz")
+        Ok(())
+    }
+
+    /// Ends the entry process of an instance and starts it anew without waiting for it.
+    ///
+    /// # Errors
+    ///
+    /// [`TestbedError`] if it cannot be started.
+    pub fn spawn_entry(&mut self, index: usize) -> Result<(), TestbedError> {
+        self.instances[index].entry.kill();
+        let plan = self.instances[index].plan.clone();
+        self.instances[index].entry = self.start_entry(&plan)?;
+        Ok(())
     }
 
     /// Waits until all entry instances are ready.
@@ -312,7 +334,8 @@
         Ok(path.display().to_string())
     }
 
-    fn describe_endpoints(&self) -> Vec<EndpointPlace> {
+    /// Endpoints with their addresses.
+    pub fn describe_endpoints(&self) -> Vec<EndpointPlace> {
         let layout = &self.options.layout;
         let place = |name: String, service: &str, kind, first: u16, index: usize| EndpointPlace {
             name,
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -4,18 +4,22 @@
 //! until they are ready. They end when the [`Testbed`] is dropped, and also when its process ends
 //! in any other way.
 
+mod caller;
+pub mod checker;
 mod child;
 mod client;
 mod deployment;
 mod error;
 mod layout;
 mod lists;
+pub mod matrix;
 mod options;
 mod ports;
 mod reaper;
 mod settings_files;
 
-pub use child::{ChildCommand, ChildProcess, binary_folder};
+pub use caller::{Ask, Caller, ServiceCall, Target, now_ms};
+pub use child::{ChildCommand, ChildProcess, binary_folder, build_binaries};
 pub use client::Client;
 pub use deployment::{Instance, Testbed};
 pub use error::TestbedError;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -4,11 +4,12 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{Sender, channel};
 use std::thread;
 
 use agatestair_schema::settings::PolicyName;
+use agatestair_testbed::matrix::{Cell, all_cells, run_cells, short_cells};
 use agatestair_testbed::{Layout, Testbed, TestbedError, TestbedOptions, run_reaper};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -42,6 +43,19 @@
                 /// File to which the description of the deployment is written.
                 required --out out: PathBuf
             }
+            /// Runs the fault matrix.
+            ///
+            /// Exit codes: 0 all promises kept, 1 bad arguments, 2 a cell failed.
+            cmd matrix {
+                /// Seeds as A..B, both included.
+                required --seeds range: String
+                /// Only this fault, or this fault at this step: FAULT, FAULT@STEP or @STEP.
+                optional --only cell: String
+                /// One cell for each fault instead of every fault at every step.
+                optional --short
+                /// Cells run at a time (3).
+                optional --jobs count: usize
+            }
             /// Ends the processes whose ids come on the standard input once that closes.
             cmd reap {}
         }
@@ -54,6 +68,10 @@
             run_reaper();
             ExitCode::SUCCESS
         }
+        flags::AgatestairTestbedCmd::Matrix(flags) => matrix(&flags).unwrap_or_else(|problem| {
+            eprintln!("{problem}");
+            ExitCode::FAILURE
+        }),
         flags::AgatestairTestbedCmd::Up(flags) => match up(&flags) {
             Ok(()) => ExitCode::SUCCESS,
             Err(problem) => {
@@ -64,6 +82,41 @@
     }
 }
 
+/// Exit code when a cell failed.
+const EXIT_FAILED: u8 = 2;
+/// Cells run at a time unless told otherwise.
+const DEFAULT_JOBS: usize = 3;
+
+fn matrix(flags: &flags::Matrix) -> Result<ExitCode, String> {
+    let problem = || format!("`{}` is no range of seeds; give for example 1..3", flags.seeds);
+    let (first, last) = flags.seeds.split_once("..").ok_or_else(problem)?;
+    let first: u64 = first.parse().map_err(|_| problem())?;
+    let last: u64 = last.trim_start_matches('=').parse().map_err(|_| problem())?;
+    let cells_of = if flags.short { short_cells } else { all_cells };
+    let cells = (first..=last).flat_map(cells_of);
+    let cells: Vec<Cell> = cells.filter(|cell| is_wanted(cell, flags.only.as_deref())).collect();
+    if cells.is_empty() {
+        return Err("no cell is left; see docs/FAULTS.md for the names".to_owned());
+    }
+    let total = cells.len();
+    let done = AtomicUsize::new(0);
+    let report = run_cells(cells, flags.jobs.unwrap_or(DEFAULT_JOBS), |result| {
+        let number = done.fetch_add(1, Ordering::Relaxed) + 1;
+        println!("{number:>4} of {total} {}", result.line());
+    });
+    println!("{report}");
+    Ok(if report.passed() { ExitCode::SUCCESS } else { ExitCode::from(EXIT_FAILED) })
+}
+
+fn is_wanted(cell: &Cell, only: Option<&str>) -> bool {
+    let Some(only) = only else {
+        return true;
+    };
+    let (fault, step) = only.split_once('@').unwrap_or((only, ""));
+    (fault.is_empty() || fault == cell.fault.name())
+        && (step.is_empty() || step == cell.step.name())
+}
+
 fn up(flags: &flags::Up) -> Result<(), String> {
     let (sender, ended) = channel();
     let started = Arc::new(AtomicBool::new(false));
--- /dev/null
+++ b/crates/testbed/src/matrix/mod.rs
@@ -0,0 +1,16 @@
+//! The fault matrix: every fault at every step, with real processes behind the fault proxy.
+//!
+//! A [`Cell`] starts a small deployment, runs traffic on it, waits until a [`Step`] is reached,
+//! injects a [`Fault`], heals it, lets the traffic end, and checks the promises.
+
+mod cell;
+mod fault;
+mod probe;
+mod run;
+mod step;
+mod traffic;
+
+pub use cell::{Cell, CellResult, run_cell};
+pub use fault::Fault;
+pub use run::{MatrixReport, all_cells, run_cells, short_cells};
+pub use step::Step;
--- a/crates/testbed/tests/layouts.rs
+++ b/crates/testbed/tests/layouts.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use agatestair_schema::standins::{EndpointFaults, Summary};
-use agatestair_testbed::{Layout, Testbed, TestbedOptions, parse_lists};
+use agatestair_testbed::{Layout, Testbed, TestbedOptions, build_binaries, parse_lists};
 use googletest::prelude::*;
 use sha2::{Digest, Sha256};
 
@@ -34,6 +34,7 @@
 
 #[googletest::test]
 fn a_deployment_leaves_nothing_behind() {
+    build_binaries().unwrap();
     for layout in layouts() {
         let endpoints = layout.engines + layout.plain;
         let options = TestbedOptions { layout, entries: 0, proxied: true, ..Default::default() };
@@ -53,6 +54,7 @@
 
 #[googletest::test]
 fn a_crashed_endpoint_comes_back_with_a_new_boot() {
+    build_binaries().unwrap();
     let options = TestbedOptions { entries: 0, ..Default::default() };
     let testbed = Testbed::start(options).unwrap();
     let name = &testbed.engine_names()[0];
