--- a/crates/policy/src/admission/drain.rs
+++ b/crates/policy/src/admission/drain.rs
@@ -5,11 +5,14 @@
 use crate::moment::Moment;
 
 /// Time constant of the measured rate, in seconds.
-const RATE_SECS: f64 = 0.6;
+const RATE_SECS: f64 = 1.5;
 
 /// Weight of the expected rate beside the measured one, in seconds.
 const PRIOR_SECS: f64 = 0.15;
 
+/// Time without a backlog for which the rate is still measured.
+const EBB: Duration = Duration::from_millis(100);
+
 /// Time without a backlog after which the measured rate is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(5);
 
@@ -21,32 +24,38 @@
     /// Decayed engine time dispatched meanwhile, in seconds.
     work: f64,
     updated: Moment,
-    backlogged: Option<Moment>,
+    /// When requests last waited for room, while the rate is measured.
+    full: Option<Moment>,
+    emptied: Moment,
 }
 
 impl DrainMeter {
-    /// Notes whether requests wait from now on; call it whenever time has passed.
-    pub(crate) fn advance(&mut self, now: Moment, waiting: bool) {
+    /// Notes whether requests wait for room from now on; call it whenever time has passed.
+    pub(crate) fn advance(&mut self, now: Moment, full: bool) {
         let elapsed = now.since(self.updated).as_secs_f64();
         self.updated = now;
-        match self.backlogged {
-            Some(_) if waiting => {
-                let decay = (-elapsed / RATE_SECS).exp();
-                self.secs = self.secs * decay + elapsed;
-                self.work *= decay;
-                self.backlogged = Some(now);
-            }
-            Some(since) if now.since(since) >= FORGET_AFTER => {
-                *self = Self { updated: now, ..Self::default() }
+        if let Some(last) = self.full {
+            let decay = (-elapsed / RATE_SECS).exp();
+            self.secs = self.secs * decay + elapsed;
+            self.work *= decay;
+            if full {
+                self.full = Some(now);
+            } else if now.since(last) >= EBB {
+                self.full = None;
             }
-            _ if waiting => self.backlogged = Some(now),
-            _ => {}
+        } else if full {
+            self.full = Some(now);
+        } else if now.since(self.emptied) >= FORGET_AFTER {
+            *self = Self { updated: now, emptied: now, ..Self::default() };
+        }
+        if full {
+            self.emptied = now;
         }
     }
 
     /// Notes dispatched work, in seconds of engine time.
-    pub(crate) fn note(&mut self, work: f64, waiting: bool) {
-        if waiting {
+    pub(crate) fn note(&mut self, work: f64) {
+        if self.full.is_some() {
             self.work += work;
         }
     }
--- a/crates/policy/src/fleet/pool.rs
+++ b/crates/policy/src/fleet/pool.rs
@@ -87,6 +87,13 @@
         }
     }
 
+    /// Whether requests wait because no endpoint has room for them.
+    pub(crate) fn is_full(&self) -> bool {
+        let whole = self.queue.count() > 0 && self.whole.is_empty();
+        let split = self.split.count() > 0 && self.prefill.is_empty();
+        whole || split
+    }
+
     /// Endpoints that serve, with room or not.
     pub(crate) fn serving(&self) -> u32 {
         self.whole_count + self.prefill_count
--- a/crates/policy/src/plans.rs
+++ b/crates/policy/src/plans.rs
@@ -115,6 +115,11 @@
         self.part.max(self.safe_share()).min(1.0)
     }
 
+    /// This entry's part of all entries' demand.
+    pub(crate) fn own_part(&self) -> f64 {
+        if self.part > 0.0 { self.part } else { self.safe_share() }
+    }
+
     /// Share of each plan's allowance that this entry may use without a grant.
     pub(crate) fn safe_share(&self) -> f64 {
         1.0 / f64::from(self.entries.max(1))
--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -15,6 +15,9 @@
 use crate::shares::KindSplit;
 use crate::size::CLASSES;
 
+/// Greatest ratio of the engine time that an entry takes to its part of the engines.
+const MAX_EFFICIENCY: f64 = 1.5;
+
 /// A request whose turn it is.
 #[derive(Clone, Copy, Debug)]
 struct Turn {
@@ -33,33 +36,34 @@
             self.dispatch_route(now, pool, Route::Whole);
             self.dispatch_route(now, pool, Route::Split);
             let pool = &mut self.pools[pool];
-            let waiting = pool.queue.count() + pool.split.count() > 0;
-            pool.drain.advance(now, waiting);
+            let full = pool.is_full();
+            pool.drain.advance(now, full);
         }
     }
 
     fn refill_accounts(&mut self, now: Moment) {
         let split = self.kind_split();
-        let fleet = self.plans.engines(self.engines) * self.efficiency();
+        let engines = self.plans.engines(self.engines);
+        let efficiency = self.efficiency();
         let safe = self.plans.safe_share();
         for plan in self.plans.iter_mut() {
-            let rate = plan.fleet_share * plan.account.share(now, safe) * fleet;
+            // A plan that may not use idle shares keeps to its limit at the nominal speed.
+            let factor = if plan.borrow { efficiency } else { efficiency.min(1.0) };
+            let rate = plan.fleet_share * plan.account.share(now, safe) * engines * factor;
             plan.account.refill(now, rate, split);
         }
     }
 
-    /// Ratio of the engine time that the pools take to what is expected of them.
+    /// Ratio of the engine time that full pools take from this entry to its part of the engines.
     fn efficiency(&self) -> f64 {
-        let mut expected = 1e-6;
-        let mut real = 1e-6;
+        let (mut expected, mut real) = (0.0, 0.0);
         for (key, pool) in &self.pools {
             if pool.kind == EndpointKind::Engine {
-                let rate = self.expected_rate(key);
-                expected += rate;
-                real += pool.drain.rate(rate);
+                expected += f64::from(pool.serving()) * self.plans.own_part();
+                real += pool.drain.rate(self.expected_rate(key));
             }
         }
-        (real / expected).clamp(0.02, 1.5)
+        if expected > 0.0 { (real / expected).clamp(0.02, MAX_EFFICIENCY) } else { 1.0 }
     }
 
     fn kind_split(&self) -> KindSplit {
@@ -166,8 +170,7 @@
     fn draw(&mut self, key: RequestKey, choice: Choice, within: bool) {
         let request = &self.requests[key];
         let pool = &mut self.pools[request.pool];
-        let waiting = pool.queue.count() + pool.split.count() > 0;
-        pool.drain.note(request.ticket.work, waiting);
+        pool.drain.note(request.ticket.work);
         let Work::Completion(work) = &request.facts.work else { return };
         let model = &self.settings.engine;
         let prefill = f64::from(choice.uncached) * model.prefill_us / 1e6;
--- a/crates/policy/src/shares/accounts.rs
+++ b/crates/policy/src/shares/accounts.rs
@@ -8,7 +8,7 @@
 pub(crate) const GRANT_LIFE: Duration = Duration::from_secs(2);
 
 /// Credit that a plan keeps at most, in seconds of its rate.
-const BURST_SECS: f64 = 0.5;
+const BURST_SECS: f64 = 1.0;
 
 /// Debt that a plan carries at most, in seconds of its rate.
 const DEBT_SECS: f64 = 0.5;
--- a/crates/policy/tests/fake/mod.rs
+++ b/crates/policy/tests/fake/mod.rs
@@ -28,6 +28,9 @@
 const SEQUENCE_US: f64 = 150.0;
 const MAX_BATCH: usize = 32;
 
+/// Engine time of one output token in a full batch, in microseconds.
+const TOKEN_US: f64 = 400.0;
+
 /// One plan for [`lists`].
 #[derive(Clone, Copy, Debug)]
 pub struct PlanCase {
@@ -155,7 +158,10 @@
     /// Attempts that may have run.
     pub ran: u32,
     pub attempts: u32,
+    /// Engine time in seconds.
     pub work: f64,
+    /// Prompt and output tokens.
+    pub tokens: (u32, u32),
 }
 
 /// One fake entry with its scheduler.
@@ -233,14 +239,13 @@
     /// Submits a request at an entry; returns its key if it was admitted.
     pub fn submit(&mut self, entry: usize, facts: RequestFacts) -> Result<RequestKey, Refusal> {
         let plan = facts.plan.to_string();
-        let work = match &facts.work {
-            Work::Completion(c) => {
-                f64::from(c.prompt_tokens) * PREFILL_US / 1e6 + f64::from(c.max_tokens) * 4e-4
-            }
-            Work::Call(_) => 0.0,
+        let tokens = match &facts.work {
+            Work::Completion(work) => (work.prompt_tokens, work.max_tokens),
+            Work::Call(_) => (0, 1),
         };
+        let work = (f64::from(tokens.0) * PREFILL_US + f64::from(tokens.1) * TOKEN_US) / 1e6;
         let key = self.entries[entry].scheduler.submit(self.now, facts)?;
-        let record = Record { plan, submitted: self.now, work, ..Record::default() };
+        let record = Record { plan, submitted: self.now, work, tokens, ..Record::default() };
         self.entries[entry].records.insert(key, record);
         Ok(key)
     }
@@ -360,7 +365,6 @@
         if purpose == Purpose::First {
             *state.drawn.entry(record.plan.clone()).or_default() += record.work;
         }
-        let size = sizes(record.work);
         let endpoint = self.endpoints.iter_mut().find(|endpoint| endpoint.view.name == name);
         let Some(endpoint) = endpoint else { return };
         match endpoint.fault {
@@ -371,7 +375,13 @@
             }
             None => {
                 record.ran += 1;
-                let job = Job { entry, attempt, prompt: size.0, output: size.1, sent: 0, purpose };
+                let prompt = if purpose == Purpose::First && record.attempts > 1 {
+                    0.0
+                } else {
+                    f64::from(record.tokens.0)
+                };
+                let output = f64::from(record.tokens.1);
+                let job = Job { entry, attempt, prompt, output, sent: 0, purpose };
                 endpoint.jobs.push(job);
             }
         }
@@ -427,11 +437,6 @@
     Done,
 }
 
-/// Prompt and output time of a job, both from its work: a fifth is taken to be output.
-fn sizes(work: f64) -> (f64, f64) {
-    (work * 0.5 * 1e6 / PREFILL_US, work * 0.5 / 4e-4)
-}
-
 impl FakeEndpoint {
     fn report(&mut self) -> EndpointView {
         self.view.report += 1;
@@ -443,7 +448,7 @@
         self.view.clone()
     }
 
-    /// Works for one step: half of the time on the first prompt, the rest on answers.
+    /// Works for one step: on prompts first, for the rest on answers.
     fn work(&mut self) -> Vec<(usize, AttemptKey, Event)> {
         let mut events = Vec::new();
         let mut left = STEP.as_secs_f64() * 1e6 / self.slow;
