Entry: tests of shutdown, authority and decoders; links tell that they are down

A link whose connection ended told nobody: the session's future was dropped before it could. The entry then took its last word on freshness for good and served on lists nobody vouched for. The session now tells it from a guard; test a_link_whose_peer_ends_is_told_to_be_down.

--- /dev/null
+++ b/crates/entry/tests/decoders.rs
@@ -0,0 +1,207 @@
+//! Decoders take any bytes: no panic, bounded memory, and well-formed input comes through.
+
+use std::io::BufReader;
+use std::sync::Arc;
+
+use agatestair_entry::core::assembly::{Assembly, Piece, PieceChecks, Track, Verdict};
+use agatestair_entry::endpoint::adapter::standard;
+use agatestair_entry::endpoint::sse::{MAX_EVENT_BYTES, SseError, SseReader};
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+fn read_all(bytes: &[u8], buffer: usize) -> (Vec<String>, Option<SseError>) {
+    let mut reader = SseReader::new(BufReader::with_capacity(buffer, bytes));
+    let mut events = Vec::new();
+    loop {
+        match reader.next_event() {
+            Ok(Some(event)) => events.push(event),
+            Ok(None) => return (events, None),
+            Err(error) => return (events, Some(error)),
+        }
+    }
+}
+
+struct EventCase {
+    name: &'static str,
+    bytes: &'static str,
+    events: &'static [&'static str],
+}
+
+const EVENT_CASES: [EventCase; 7] = [
+    EventCase { name: "one", bytes: "data: a\n\n", events: &["a"] },
+    EventCase { name: "no space", bytes: "data:a\n\n", events: &["a"] },
+    EventCase { name: "carriage returns", bytes: "data: a\r\n\r\n", events: &["a"] },
+    EventCase { name: "two lines", bytes: "data: a\ndata: b\n\n", events: &["a\nb"] },
+    EventCase {
+        name: "other fields and comments",
+        bytes: ": c\nevent: x\ndata: a\nid: 1\n\n",
+        events: &["a"],
+    },
+    EventCase { name: "cut off", bytes: "data: a\n\ndata: b\n", events: &["a"] },
+    EventCase { name: "cut in a line", bytes: "data: a\n\ndata: b", events: &["a"] },
+];
+
+#[gtest]
+fn events_are_read_as_the_standard_asks() -> Result<()> {
+    for case in &EVENT_CASES {
+        for buffer in [1, 3, 4096] {
+            let (events, error) = read_all(case.bytes.as_bytes(), buffer);
+            expect_that!(events, eq(&case.events.to_vec()), "{}", case.name);
+            expect_true!(error.is_none());
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+fn endless_events_end_in_an_error() -> Result<()> {
+    let line = vec![b'x'; MAX_EVENT_BYTES + 10];
+    let many = "data: 0123456789\n".repeat(MAX_EVENT_BYTES / 10);
+    for bytes in [line.as_slice(), many.as_bytes()] {
+        let (events, error) = read_all(bytes, 4096);
+        expect_that!(events.len(), eq(0));
+        expect_true!(matches!(error, Some(SseError::TooLarge)));
+    }
+    Ok(())
+}
+
+const REQUEST: &str = "r";
+const ATTEMPT: &str = "r.1";
+const TOTAL: u32 = 12;
+
+fn piece(offset: u32, attempt: &str) -> Piece {
+    Piece {
+        request: REQUEST.into(),
+        attempt: attempt.into(),
+        offset,
+        tokens: 1,
+        total: (offset + 1 == TOTAL).then_some(TOTAL),
+        text: format!("{offset} "),
+        finish: None,
+    }
+}
+
+fn track(attempt: &str, next: u32) -> Track {
+    Track { request: REQUEST.into(), attempt: attempt.into(), next, ..Track::default() }
+}
+
+fn whole_text() -> String {
+    (0..TOTAL).map(|offset| format!("{offset} ")).collect()
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_read_without_panic(bytes in proptest::collection::vec(any::<u8>(), 0..600)) {
+        let (events, _) = read_all(&bytes, 7);
+        let adapter = standard();
+        for event in events {
+            let _ = (adapter.decode)(&event);
+        }
+        let _ = (adapter.handle)(&bytes);
+    }
+
+    #[test]
+    fn events_come_through_any_buffer(
+        texts in proptest::collection::vec("[a-z {}\":]{0,40}", 0..20),
+        buffer in 1_usize..100,
+    ) {
+        let bytes: String = texts.iter().map(|text| format!("data: {text}\n\n")).collect();
+        let (events, error) = read_all(bytes.as_bytes(), buffer);
+        prop_assert!(error.is_none());
+        prop_assert_eq!(events, texts);
+    }
+
+    #[test]
+    fn what_is_delivered_is_a_prefix_of_the_answer(
+        arrivals in proptest::collection::vec((0_usize..2, 0_u32..TOTAL, any::<bool>()), 0..120),
+    ) {
+        let attempts: [Arc<str>; 2] = [ATTEMPT.into(), "r.2".into()];
+        let mut tracks = [track(&attempts[0], 0), track(&attempts[1], 0)];
+        let mut broken = [false; 2];
+        let mut assembly = Assembly::new(PieceChecks::default(), TOTAL);
+        let mut text = String::new();
+        for (index, offset, foreign) in arrivals {
+            let sender = if foreign { 1 - index } else { index };
+            if broken[index] {
+                continue;
+            }
+            let mut out = Vec::new();
+            let sent = piece(offset, &attempts[sender]);
+            let verdict = assembly.take(&mut tracks[index], sent, &mut out);
+            prop_assert_eq!(foreign, verdict == Verdict::Foreign);
+            broken[index] = verdict == Verdict::Broken;
+            text.extend(out.into_iter().map(|piece| piece.text));
+        }
+        prop_assert!(whole_text().starts_with(&text));
+        prop_assert_eq!(assembly.whole(), text == whole_text());
+        prop_assert!(tracks.iter().all(|track| track.ahead.len() <= TOTAL as usize));
+    }
+
+    #[test]
+    fn a_shuffled_stream_is_put_in_order(order in Just((0..TOTAL).collect::<Vec<_>>()).prop_shuffle()) {
+        let mut track = track(ATTEMPT, 0);
+        let mut assembly = Assembly::new(PieceChecks::default(), TOTAL);
+        let mut text = String::new();
+        for offset in order {
+            let mut out = Vec::new();
+            assembly.take(&mut track, piece(offset, ATTEMPT), &mut out);
+            text.extend(out.into_iter().map(|piece| piece.text));
+        }
+        prop_assert_eq!(text, whole_text());
+        prop_assert!(assembly.whole());
+    }
+}
+
+struct PieceCase {
+    name: &'static str,
+    next: u32,
+    piece: fn() -> Piece,
+    verdict: Verdict,
+}
+
+const PIECE_CASES: [PieceCase; 8] = [
+    PieceCase { name: "fits", next: 0, piece: || piece(0, ATTEMPT), verdict: Verdict::Taken },
+    PieceCase { name: "ahead", next: 0, piece: || piece(3, ATTEMPT), verdict: Verdict::Held },
+    PieceCase { name: "foreign", next: 0, piece: || piece(0, "r.2"), verdict: Verdict::Foreign },
+    PieceCase {
+        name: "no tokens and no total",
+        next: 0,
+        piece: || Piece { tokens: 0, ..piece(0, ATTEMPT) },
+        verdict: Verdict::Doubled,
+    },
+    PieceCase {
+        name: "empty last piece",
+        next: 0,
+        piece: || Piece { tokens: 0, total: Some(0), ..piece(0, ATTEMPT) },
+        verdict: Verdict::Taken,
+    },
+    PieceCase {
+        name: "total that does not fit",
+        next: 0,
+        piece: || Piece { total: Some(9), ..piece(0, ATTEMPT) },
+        verdict: Verdict::Broken,
+    },
+    PieceCase {
+        name: "over the limit",
+        next: 0,
+        piece: || Piece { tokens: TOTAL + 1, ..piece(0, ATTEMPT) },
+        verdict: Verdict::Broken,
+    },
+    PieceCase {
+        name: "offset at the end of numbers",
+        next: 0,
+        piece: || Piece { tokens: 5, ..piece(u32::MAX - 2, ATTEMPT) },
+        verdict: Verdict::Broken,
+    },
+];
+
+#[gtest]
+fn pieces_are_judged() -> Result<()> {
+    for case in &PIECE_CASES {
+        let mut assembly = Assembly::new(PieceChecks::default(), TOTAL);
+        let mut out = Vec::new();
+        let verdict = assembly.take(&mut track(ATTEMPT, case.next), (case.piece)(), &mut out);
+        expect_that!(verdict, eq(case.verdict), "{}", case.name);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/tests/shutdown.rs
@@ -0,0 +1,130 @@
+//! A graceful shutdown cuts no request, and an entry that cannot vouch for its lists refuses work.
+
+mod support;
+
+use std::time::Instant;
+
+use agatestair_schema::answer_text;
+use agatestair_schema::caller::{EntryAnswer, RunState};
+use agatestair_schema::link::Presence;
+use agatestair_schema::slo::SloSnapshot;
+use googletest::prelude::*;
+use serde_json::json;
+
+use self::support::caller::{EventStream, StreamEnd, get_json, prompt_body, send, status};
+use self::support::{MODEL, Rig, RigSettings, eventually};
+
+const PATH: &str = "/v1/services/ledger/scores";
+
+fn entry_names(rig: &Rig) -> Vec<String> {
+    let answer: EntryAnswer = get_json(rig.entry.address, "/v1/entries");
+    answer.entries.into_iter().map(|entry| entry.name).collect()
+}
+
+#[gtest]
+fn leaving_entry_finishes_its_requests() -> Result<()> {
+    let mut rig = Rig::start(RigSettings::default());
+    rig.control.set_directory(&["e1", "e9"]);
+    eventually("both entries are told of", || entry_names(&rig).len() == 2);
+    for ledger in ["ledger0-1", "ledger1-1"] {
+        rig.set_faults(ledger, &json!({"hold_before": 1}));
+    }
+    let address = rig.entry.address;
+    let call = std::thread::spawn(move || {
+        send(address, "POST", PATH, &[("Idempotency-Key", "k")], "body").status
+    });
+    eventually("the call has arrived", || rig.runs().iter().any(|run| run.key == "k"));
+    let mut stream = EventStream::open(address, "leaving", 300);
+    verify_true!(stream.read_piece())?;
+    rig.entry.terminate();
+    eventually("the entry is not ready", || status(address, "/readyz") == Some(503));
+    expect_that!(entry_names(&rig), elements_are![eq("e9")]);
+    eventually("the control process knows", || {
+        rig.control.heartbeat().is_some_and(|beat| beat.presence == Presence::Leaving)
+    });
+    // Callers that were told of it before are still served.
+    let late = send(address, "POST", "/v1/completions", &[], &prompt_body("late", 3, false));
+    expect_that!(late.status, eq(200));
+    expect_that!(stream.read_to_end(), eq(StreamEnd::Whole));
+    expect_that!(stream.text, eq(&answer_text(MODEL, "leaving", 300)));
+    eventually("no connection is taken", || status(address, "/healthz").is_none());
+    rig.release();
+    expect_that!(call.join().expect("caller ends"), eq(200));
+    expect_that!(rig.entry.wait().code(), some(eq(0)));
+    Ok(())
+}
+
+#[gtest]
+fn without_its_protection_a_shutdown_cuts_requests() -> Result<()> {
+    let disabled = &["leave_wait", "drain"];
+    let mut rig = Rig::start(RigSettings { disabled, ..RigSettings::default() });
+    let mut stream = EventStream::open(rig.entry.address, "cut", 1000);
+    verify_true!(stream.read_piece())?;
+    rig.entry.terminate();
+    expect_that!(stream.read_to_end(), eq(StreamEnd::Cut));
+    rig.entry.wait();
+    Ok(())
+}
+
+#[gtest]
+fn counters_are_kept_in_the_object_store() -> Result<()> {
+    let mut rig = Rig::start(RigSettings::default());
+    let answer =
+        send(rig.entry.address, "POST", "/v1/completions", &[], &prompt_body("abc", 3, false));
+    let id = answer.header("x-request-id").unwrap_or_default().to_owned();
+    let boot = id.split('-').nth(1).unwrap_or_default().to_owned();
+    rig.entry.terminate();
+    expect_that!(rig.entry.wait().code(), some(eq(0)));
+    let snapshot: SloSnapshot = get_json(rig.platform, &format!("/objects/slo/e1/{boot}"));
+    let last = snapshot.samples.last().or_fail()?;
+    let good: u64 = last.counts.iter().map(|counts| counts.good).sum();
+    expect_that!(good, eq(1));
+    Ok(())
+}
+
+#[gtest]
+fn entry_without_fresh_lists_refuses_work() -> Result<()> {
+    let rig = Rig::start(RigSettings { stale_ms: 500, ..RigSettings::default() });
+    let address = rig.entry.address;
+    rig.control.set_fresh(false);
+    eventually("the entry is not ready", || status(address, "/readyz") == Some(503));
+    let body = prompt_body("abc", 3, false);
+    let answer = send(address, "POST", "/v1/completions", &[], &body);
+    expect_that!(answer.refusal(), eq(&("stale".to_owned(), RunState::NotRun)));
+    let keyed = send(address, "POST", PATH, &[("Idempotency-Key", "k")], "body");
+    expect_that!(keyed.refusal(), eq(&("stale".to_owned(), RunState::Unknown)));
+    rig.control.set_fresh(true);
+    eventually("the entry is ready", || status(address, "/readyz") == Some(200));
+    Ok(())
+}
+
+#[gtest]
+fn entry_that_loses_its_control_process_refuses_work_in_time() -> Result<()> {
+    let rig = Rig::start(RigSettings { stale_ms: 500, ..RigSettings::default() });
+    let Rig { control, entry, .. } = rig;
+    drop(control);
+    let start = Instant::now();
+    eventually("the entry is not ready", || status(entry.address, "/readyz") == Some(503));
+    let waited = start.elapsed().as_millis();
+    expect_that!(waited, ge(100));
+    Ok(())
+}
+
+#[gtest]
+fn older_lists_never_replace_newer_ones() -> Result<()> {
+    let rig = Rig::start(RigSettings::default());
+    let revision = || rig.control.heartbeat().map(|beat| beat.revision);
+    rig.control.set_lists(7, "refuse");
+    eventually("revision 7 is in force", || revision() == Some(7));
+    rig.control.set_lists(6, "refuse");
+    let body = prompt_body("abc", 3, false);
+    for _ in 0..3 {
+        verify_that!(
+            send(rig.entry.address, "POST", "/v1/completions", &[], &body).status,
+            eq(200)
+        )?;
+    }
+    let metrics = send(rig.entry.address, "GET", "/metrics", &[], "").body;
+    expect_that!(metrics, contains_substring("agatestair_lists_revision 7"));
+    Ok(())
+}
--- a/crates/entry/tests/support/control.rs
+++ b/crates/entry/tests/support/control.rs
@@ -156,9 +156,8 @@
         LinkEvent::Down { .. } => state.link = None,
         LinkEvent::Message { message, link, .. } => {
             state.link = Some(link);
-            if let LinkMessage::Heartbeat(heartbeat) = *message {
-                state.heartbeat = Some(heartbeat);
-            }
+            let LinkMessage::Heartbeat(heartbeat) = *message else { return };
+            state.heartbeat = Some(heartbeat);
         }
     }
     if let (Some(link), Some(node)) = (state.link, node.get()) {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -8,8 +8,8 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use agatestair_schema::platform::PlatformFaults;
@@ -195,10 +195,28 @@
     }
 }
 
-/// An address of this machine that is free now.
+/// Held while a process is started, which has this one's sockets until it runs its own program.
+static SPAWNING: Mutex<()> = Mutex::new(());
+/// First port that is handed out; all lie below those that outgoing connections get.
+const FIRST_PORT: u32 = 10_000;
+/// Ports that one process hands out.
+const PORTS: u32 = 128;
+/// Processes whose ports do not overlap.
+const PROCESSES: u32 = 170;
+
+/// An address of this machine that is free now and that no outgoing connection takes.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("bound")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let _guard = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let first = FIRST_PORT + std::process::id() % PROCESSES * PORTS;
+    loop {
+        let count = NEXT.fetch_add(1, Ordering::Relaxed);
+        assert!(count < 10 * PORTS, "no port is free");
+        let port = u16::try_from(first + count % PORTS).expect("ports are small");
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("bound");
+        }
+    }
 }
 
 fn standin_settings(
@@ -251,7 +269,7 @@
         "control": control.to_string(),
         "platform": {"address": platform.to_string(), "timeout_ms": 500},
         "link": {"key": LINK_KEY},
-        "log": {"level": "error"},
+        "log": {"level": std::env::var("AGATESTAIR_TEST_LOG").unwrap_or_else(|_| "error".to_owned())},
         "services": [{"name": "models"}, {"name": "ledger"}],
         "answer_ms": settings.answer_ms,
         "stale_ms": settings.stale_ms,
@@ -262,6 +280,7 @@
     let file = format!("entry-{}-{count}.json", std::process::id());
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(file);
     std::fs::write(&path, document.to_string()).expect("temporary folder is writable");
+    let _guard = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
     let child = Command::new(env!("CARGO_BIN_EXE_agatestair-entry"))
         .arg("--config")
         .arg(&path)
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -50,10 +50,14 @@
         let (sender, receiver) = mpsc::channel(QUEUED_MESSAGES);
         let link = shared.add_link(sender);
         shared.tell(LinkEvent::Up { link, peer: peer.clone() });
-        let error = self.carry(shared, link, &peer, receiver).await;
-        shared.remove_link(link);
-        shared.tell(LinkEvent::Down { link, peer, error: error.clone() });
-        error
+        let mut open = OpenLink {
+            shared: shared.clone(),
+            link,
+            peer: peer.clone(),
+            error: LinkError::Closed("connection ended".to_owned()),
+        };
+        open.error = self.carry(shared, link, &peer, receiver).await;
+        open.error.clone()
     }
 
     async fn authenticate(&mut self, shared: &Shared, side: Side) -> Result<Arc<Peer>, LinkError> {
@@ -81,6 +85,22 @@
     }
 }
 
+/// Tells that a link is down when dropped, which also happens when its connection ends first.
+struct OpenLink {
+    shared: Arc<Shared>,
+    link: LinkKey,
+    peer: Arc<Peer>,
+    error: LinkError,
+}
+
+impl Drop for OpenLink {
+    fn drop(&mut self) {
+        self.shared.remove_link(self.link);
+        let (peer, error) = (self.peer.clone(), self.error.clone());
+        self.shared.tell(LinkEvent::Down { link: self.link, peer, error });
+    }
+}
+
 async fn read_all(
     mut reader: FrameReader,
     shared: &Shared,
--- a/crates/link/tests/links.rs
+++ b/crates/link/tests/links.rs
@@ -196,3 +196,22 @@
     expect_that!(dialler.events.recv_timeout(WAIT), ok(matches_pattern!(LinkEvent::Up { .. })));
     drop(acceptor);
 }
+
+#[gtest]
+fn a_link_whose_peer_ends_is_told_to_be_down() {
+    const KEYS: Keys = Keys { current: "k", previous: "" };
+    for ender in ["acceptor", "dialler"] {
+        let address = free_address();
+        let acceptor = start("acceptor", &KEYS, Some(address));
+        let dialler = start("dialler", &KEYS, None);
+        dialler.node.dial(address);
+        for end in [&dialler, &acceptor] {
+            expect_that!(end.events.recv_timeout(WAIT), ok(matches_pattern!(LinkEvent::Up { .. })));
+        }
+        let (ended, left) =
+            if ender == "acceptor" { (acceptor, dialler) } else { (dialler, acceptor) };
+        drop(ended);
+        let event = left.events.recv_timeout(WAIT);
+        expect_that!(event, ok(matches_pattern!(LinkEvent::Down { .. })), "{ender}");
+    }
+}
