--- a/crates/policy/src/scheduler/admit.rs
+++ b/crates/policy/src/scheduler/admit.rs
@@ -21,6 +21,9 @@
 /// Part of the work of longer requests that is expected to go before a shorter one.
 const LONGER_AHEAD: f64 = 0.25;
 
+/// Part of the longest useful wait up to which a predicted wait is accepted.
+const ADMIT_PART: f64 = 0.7;
+
 /// Least part of the target to the first token that every request may wait.
 const MIN_WAIT_PART: f64 = 0.4;
 
@@ -131,7 +134,7 @@
         let start = now + Duration::from_secs_f64(wait);
         let end = start + Duration::from_secs_f64(expected.whole);
         let bound = self.wait_bound(facts, plan, expected.first);
-        if start > now + bound || end > facts.deadline {
+        if start > now + bound.mul_f64(ADMIT_PART) || end > facts.deadline {
             return Err(self.refusal(now, expected.pool, RefusalCode::TooLate, expected.work));
         }
         Ok(())
@@ -140,7 +143,7 @@
     /// Longest useful wait of a request.
     fn wait_bound(&self, facts: &RequestFacts, plan: usize, first: f64) -> Duration {
         match facts.work {
-            Work::Call(_) => Duration::MAX,
+            Work::Call(_) => facts.deadline.since(Moment::default()),
             Work::Completion(_) => {
                 let target = self.plans.plan(plan).first.as_secs_f64();
                 let late = target * self.settings.queue.late_factor;
--- a/crates/policy/tests/fake/mod.rs
+++ b/crates/policy/tests/fake/mod.rs
@@ -132,6 +132,8 @@
     prompt: f64,
     output: f64,
     sent: u32,
+    /// Tokens that the caller had at its start.
+    offset: u32,
     purpose: Purpose,
 }
 
@@ -162,6 +164,10 @@
     pub work: f64,
     /// Prompt and output tokens.
     pub tokens: (u32, u32),
+    /// Output tokens that the caller has.
+    reached: u32,
+    /// Output tokens that all attempts generated.
+    generated: u32,
 }
 
 /// One fake entry with its scheduler.
@@ -186,8 +192,9 @@
     /// Reports that are not yet delivered.
     reports: VecDeque<(Moment, Vec<EndpointView>)>,
     pub report_lag: Duration,
-    pub hedges: u32,
-    pub starts: u32,
+    /// Engine seconds of prompts processed by second attempts, and of all other attempts.
+    hedged: f64,
+    pub started: f64,
 }
 
 impl World {
@@ -218,8 +225,8 @@
             reported: Moment::default(),
             reports: VecDeque::new(),
             report_lag: Duration::from_millis(250),
-            hedges: 0,
-            starts: 0,
+            hedged: 0.0,
+            started: 0.0,
         }
     }
 
@@ -295,6 +302,14 @@
         }
     }
 
+    /// Engine seconds spent beyond one processing of each request.
+    pub fn extra(&self) -> f64 {
+        let records = self.entries.iter().flat_map(|entry| entry.records.values());
+        let more = |record: &Record| record.generated.saturating_sub(record.tokens.1);
+        let tokens: u32 = records.map(more).sum();
+        self.hedged + f64::from(tokens) * TOKEN_US / 1e6
+    }
+
     fn report(&mut self) {
         let views = self.endpoints.iter_mut().map(FakeEndpoint::report).collect();
         self.reports.push_back((self.now, views));
@@ -355,13 +370,15 @@
         name: &str,
         purpose: Purpose,
     ) {
-        self.starts += 1;
-        self.hedges += u32::from(purpose == Purpose::Hedge);
         let state = &mut self.entries[entry];
         state.running.insert(attempt, request);
         let Some(record) = state.records.get_mut(&request) else { return };
         assert!(record.refused.is_none() && record.done.is_none(), "started after its end");
         record.attempts += 1;
+        match purpose {
+            Purpose::Hedge => self.hedged += f64::from(record.tokens.0) * PREFILL_US / 1e6,
+            _ => self.started += record.work,
+        }
         if purpose == Purpose::First {
             *state.drawn.entry(record.plan.clone()).or_default() += record.work;
         }
@@ -380,8 +397,9 @@
                 } else {
                     f64::from(record.tokens.0)
                 };
-                let output = f64::from(record.tokens.1);
-                let job = Job { entry, attempt, prompt, output, sent: 0, purpose };
+                let offset = record.reached;
+                let output = f64::from(record.tokens.1.saturating_sub(offset));
+                let job = Job { entry, attempt, prompt, output, sent: 0, offset, purpose };
                 endpoint.jobs.push(job);
             }
         }
@@ -395,7 +413,7 @@
                 continue;
             }
             match event {
-                Event::Tokens(tokens) => self.piece(entry, attempt, tokens),
+                Event::Tokens(tokens, reached) => self.piece(entry, attempt, tokens, reached),
                 Event::Prefilled => {
                     self.entries[entry].scheduler.note_prefilled(self.now, attempt);
                     self.end(entry, attempt, AttemptEnd::Done);
@@ -405,13 +423,15 @@
         }
     }
 
-    fn piece(&mut self, entry: usize, attempt: AttemptKey, tokens: u32) {
+    fn piece(&mut self, entry: usize, attempt: AttemptKey, tokens: u32, reached: u32) {
         let state = &mut self.entries[entry];
         state.scheduler.note_piece(self.now, attempt, tokens);
         let request = state.running.get(&attempt).copied();
         let record = request.and_then(|request| state.records.get_mut(&request));
-        if let Some(record) = record.filter(|record| record.first.is_none()) {
-            record.first = Some(self.now);
+        if let Some(record) = record {
+            record.first.get_or_insert(self.now);
+            record.generated += tokens;
+            record.reached = record.reached.max(reached);
         }
     }
 
@@ -432,7 +452,8 @@
 
 #[derive(Clone, Copy, Debug)]
 enum Event {
-    Tokens(u32),
+    /// Tokens, and the token of the answer reached with them.
+    Tokens(u32, u32),
     Prefilled,
     Done,
 }
@@ -469,7 +490,8 @@
             let sent = (before - job.output.max(0.0).ceil()) as u32;
             if sent > 0 {
                 job.sent += sent;
-                events.push((job.entry, job.attempt, Event::Tokens(sent)));
+                let reached = job.offset + job.sent;
+                events.push((job.entry, job.attempt, Event::Tokens(sent, reached)));
             }
             if job.output <= 0.0 {
                 events.push((job.entry, job.attempt, Event::Done));
