Report page: round time labels, full-width plots, key as a list

Cause: seen in headless Chromium at 1100x900: the last label was cut off, labels fell on odd hours (69 h, 56 h), table heads broke inside '1 h', the key ran over three lines.

--- a/crates/report/src/html.rs
+++ b/crates/report/src/html.rs
@@ -20,8 +20,10 @@
 .badge{border-radius:4px;padding:.1rem .5rem;color:#fff;white-space:nowrap;font-size:.9rem}
 .fast_burn{background:#9e2a2b}.slow_burn{background:#b8641b}.watch{background:#8a7a1f}.kept{background:#3f7d4b}.no_traffic{background:#777}
 .note{color:#555;margin:.3rem 0}
-.key span{display:inline-block;width:.8rem;height:.8rem;border-radius:2px;margin:0 .3rem 0 .9rem;vertical-align:-.08rem}
-svg{max-width:100%;height:auto}
+.key span{display:inline-block;width:.8rem;height:.8rem;border-radius:2px;margin-right:.4rem;vertical-align:-.08rem}
+svg{width:100%;height:auto}
+th{white-space:nowrap;font-weight:600}td:first-child{white-space:nowrap}
+.key{list-style:none;padding:0}
 a{color:inherit}
 ";
 
@@ -87,17 +89,17 @@
 }
 
 fn colour_key() -> String {
-    let mut text = "<p class=\"note key\">Misses by reason:".to_owned();
+    let mut text = "<ul class=\"note key\">".to_owned();
     for reason in REASONS {
         let (red, green, blue) = colour_of(reason);
         let _ = write!(
             text,
-            "<span style=\"background:rgb({red},{green},{blue})\"></span>{} \u{2013} {}",
+            "<li><span style=\"background:rgb({red},{green},{blue})\"></span>{}: {}</li>",
             reason.name(),
             reason.meaning()
         );
     }
-    text.push_str("</p>\n");
+    text.push_str("</ul>\n");
     text
 }
 
--- a/crates/report/src/plot.rs
+++ b/crates/report/src/plot.rs
@@ -6,12 +6,13 @@
 
 use crate::burn::SubjectBurn;
 use crate::outcome::{REASONS, Reason};
-use crate::text::window_name;
 
 /// Size of a plot in pixels.
 const SIZE: (u32, u32) = (860, 230);
 /// Size of the letters in pixels.
 const FONT_PX: u32 = 13;
+/// Space right of the plot, for half of the last label, in pixels.
+const RIGHT_PX: u32 = 26;
 /// Space for the labels left of and below the plot, in pixels.
 const LABEL_PX: u32 = 52;
 /// Labels on the axes.
@@ -45,10 +46,13 @@
     let allowed = 1.0 - burn.objective;
     let worst = burn.plot.iter().map(|point| point.tally.miss_share()).fold(0.0, f64::max);
     let height = (worst * 1.1).max(allowed * LEAST_HEIGHT).clamp(1e-4, 1.0) * 100.0;
-    let length = burn.windows.last().map_or(1.0, |window| seconds(window.window_s));
+    let window_s = burn.windows.last().map_or(1, |window| window.window_s);
+    let unit = unit_of(window_s);
+    let length = seconds(window_s) / seconds(unit);
     let area = SVGBackend::with_string(svg, SIZE).into_drawing_area();
     let mut chart = ChartBuilder::on(&area)
         .margin(6)
+        .margin_right(RIGHT_PX)
         .x_label_area_size(LABEL_PX / 2)
         .y_label_area_size(LABEL_PX)
         .build_cartesian_2d(-length..0.0, 0.0..height)?;
@@ -60,13 +64,13 @@
         .bold_line_style(RGBColor(226, 226, 222))
         .x_labels(LABELS)
         .y_labels(5)
-        .x_label_formatter(&|at| age_label(*at))
+        .x_label_formatter(&|at| age_label(*at, unit))
         .y_label_formatter(&|share| {
             format!("{share:.4}").trim_end_matches('0').trim_end_matches('.').to_owned() + "%"
         })
         .label_style(font)
         .draw()?;
-    let bars = bars_of(burn, now_ms, length);
+    let bars = bars_of(burn, now_ms, length, unit);
     chart.draw_series(bars)?;
     let line = [(-length, allowed * 100.0), (0.0, allowed * 100.0)];
     chart.draw_series(LineSeries::new(line, BLACK.stroke_width(1)))?;
@@ -75,11 +79,11 @@
 }
 
 /// Stacked bars, one stack an interval.
-fn bars_of(burn: &SubjectBurn, now_ms: u64, length: f64) -> Vec<Rectangle<(f64, f64)>> {
+fn bars_of(burn: &SubjectBurn, now_ms: u64, length: f64, unit: u64) -> Vec<Rectangle<(f64, f64)>> {
     let width = length / seconds(burn.plot.len().max(1) as u64);
     let mut bars = Vec::new();
     for point in &burn.plot {
-        let middle = -seconds(now_ms.saturating_sub(point.at_ms)) / 1000.0;
+        let middle = -seconds(now_ms.saturating_sub(point.at_ms)) / 1000.0 / seconds(unit);
         let total = point.tally.total();
         let mut base = 0.0;
         for reason in REASONS {
@@ -96,20 +100,25 @@
     bars
 }
 
+/// Unit of the time axis in seconds, so that its labels are round.
+fn unit_of(window_s: u64) -> u64 {
+    match window_s {
+        hours if hours > 4 * 3600 => 3600,
+        minutes if minutes > 4 * 60 => 60,
+        _ => 1,
+    }
+}
+
 /// Age of a point in words.
-fn age_label(at: f64) -> String {
+fn age_label(at: f64, unit: u64) -> String {
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let age = (-at).round().max(0.0) as u64;
-    if age == 0 { "now".to_owned() } else { format!("{} ago", window_name(round_age(age))) }
-}
-
-/// Rounds ages of over two hours to the hour, and of over two minutes to the minute.
-fn round_age(age: u64) -> u64 {
-    match age {
-        hours if hours > 7200 => (hours + 1800) / 3600 * 3600,
-        minutes if minutes > 120 => (minutes + 30) / 60 * 60,
-        age => age,
-    }
+    let name = match unit {
+        3600 => "h",
+        60 => "min",
+        _ => "s",
+    };
+    if age == 0 { "now".to_owned() } else { format!("{age} {name} ago") }
 }
 
 #[allow(clippy::cast_precision_loss)]
