--- a/crates/entry/src/core/attempts.rs
+++ b/crates/entry/src/core/attempts.rs
@@ -220,7 +220,8 @@
         let request = self.attempts[key].request;
         if answer.status == BUSY_STATUS && answer.says_not_run() {
             let cause = "the endpoint takes no new work".to_owned();
-            let fault = AttemptFault { may_have_run: false, too_large: false, cause };
+            let fault =
+                AttemptFault { may_have_run: false, too_large: false, cache_lost: false, cause };
             self.attempt_failed(now, key, &fault);
             return;
         }
@@ -242,6 +243,7 @@
                 &AttemptFault {
                     may_have_run: true,
                     too_large: false,
+                    cache_lost: false,
                     cause: "the stream ended before the answer was whole".to_owned(),
                 },
             );
@@ -256,7 +258,12 @@
         self.attempt_failed(
             now,
             key,
-            &AttemptFault { may_have_run: true, too_large: false, cause: cause.to_owned() },
+            &AttemptFault {
+                may_have_run: true,
+                too_large: false,
+                cache_lost: false,
+                cause: cause.to_owned(),
+            },
         );
     }
 
@@ -276,6 +283,9 @@
         let job = &mut self.jobs[attempt.request];
         job.attempts.retain(|live| *live != key);
         job.may_have_run |= fault.may_have_run;
+        if let (true, JobWork::Completion(work)) = (fault.cache_lost, &mut job.work) {
+            work.handle = None;
+        }
         let at = now.saturating_duration_since(job.admitted);
         job.explanation.add(at, format!("attempt at {} failed: {}", attempt.endpoint, fault.cause));
         log_event!(self.parts.log, ATTEMPT_FAILED, "request" => &*job.caller.id,
--- a/crates/entry/src/core/message.rs
+++ b/crates/entry/src/core/message.rs
@@ -129,6 +129,8 @@
     pub may_have_run: bool,
     /// Whether an answer arrived that is over the limit.
     pub too_large: bool,
+    /// Whether the endpoint cannot use the KV cache that was named.
+    pub cache_lost: bool,
     /// Cause, for the log and explanations.
     pub cause: String,
 }
--- a/crates/entry/src/endpoint/client.rs
+++ b/crates/entry/src/endpoint/client.rs
@@ -55,7 +55,12 @@
 
 /// Fault of an exchange that ended in `error`.
 pub fn fault_of(error: &Error) -> AttemptFault {
-    AttemptFault { may_have_run: !never_sent(error), too_large: false, cause: error.to_string() }
+    AttemptFault {
+        may_have_run: !never_sent(error),
+        too_large: false,
+        cache_lost: false,
+        cause: error.to_string(),
+    }
 }
 
 /// Whether no byte can have been sent.
--- a/crates/entry/src/endpoint/engine.rs
+++ b/crates/entry/src/endpoint/engine.rs
@@ -22,6 +22,8 @@
 const MAX_ANSWER_BYTES: u64 = 64 * 1024;
 /// Buffer of a stream's reader in bytes.
 const READ_BYTES: usize = 4 * 1024;
+/// Status by which an engine refuses an unknown KV cache.
+const CONFLICT: u16 = 409;
 /// Tries to cancel an attempt at its engine.
 const CANCEL_TRIES: u32 = 3;
 /// Bounds of one try to cancel.
@@ -65,6 +67,7 @@
             let fault = AttemptFault {
                 may_have_run: false,
                 too_large: false,
+                cache_lost: false,
                 cause: format!("cannot start a thread: {error}"),
             };
             channel.send(EntryMessage::Attempt { attempt, event: AttemptEvent::Failed(fault) });
@@ -127,13 +130,19 @@
         Err(AttemptFault {
             may_have_run: status >= 500 && status != 503,
             too_large: false,
+            cache_lost: status == CONFLICT,
             cause: format!("the engine answered with status {status}"),
         })
     }
 }
 
 fn ran_fault(cause: &impl ToString) -> AttemptFault {
-    AttemptFault { may_have_run: true, too_large: false, cause: cause.to_string() }
+    AttemptFault {
+        may_have_run: true,
+        too_large: false,
+        cache_lost: false,
+        cause: cause.to_string(),
+    }
 }
 
 /// Cancels an attempt at its engine, on a thread of its own.
--- a/crates/entry/src/endpoint/service.rs
+++ b/crates/entry/src/endpoint/service.rs
@@ -58,7 +58,8 @@
         let thread = thread::Builder::new().name("service".to_owned()).stack_size(STACK_BYTES);
         if let Err(error) = thread.spawn(move || self.run()) {
             let cause = format!("cannot start a thread: {error}");
-            let fault = AttemptFault { may_have_run: false, too_large: false, cause };
+            let fault =
+                AttemptFault { may_have_run: false, too_large: false, cache_lost: false, cause };
             channel.send(EntryMessage::Attempt { attempt, event: AttemptEvent::Failed(fault) });
         }
     }
@@ -80,6 +81,7 @@
         let body = body.map_err(|error| AttemptFault {
             may_have_run: true,
             too_large: matches!(error, Error::BodyExceedsLimit(_)),
+            cache_lost: false,
             cause: error.to_string(),
         })?;
         Ok(CallAnswer {
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -2,13 +2,17 @@
 
 mod support;
 
+use std::io::Write;
+use std::net::TcpStream;
+
 use agatestair_schema::answer_text;
+use agatestair_schema::link::EndpointRole;
 use agatestair_schema::standins::{RunKind, RunOutcome};
 use googletest::prelude::*;
 use serde_json::{Value, json};
 
 use self::support::caller::{EventStream, StreamEnd, prompt_body, send};
-use self::support::{MODEL, Rig, RigSettings, eventually};
+use self::support::{API_KEY, MODEL, Rig, RigSettings, eventually};
 
 struct Case {
     name: &'static str,
@@ -96,6 +100,52 @@
     Ok(())
 }
 
+#[gtest]
+fn engine_is_cancelled_when_a_caller_leaves_before_its_answer() -> Result<()> {
+    let rig = Rig::start(RigSettings::default());
+    let body = prompt_body("leaving", 1000, false);
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer {API_KEY}\r\n\
+         Content-Length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut caller = TcpStream::connect(rig.entry.address).or_fail()?;
+    caller.write_all(head.as_bytes()).or_fail()?;
+    caller.write_all(body.as_bytes()).or_fail()?;
+    eventually("the engine works on it", || !rig.runs().is_empty());
+    drop(caller);
+    eventually("the engine is cancelled", || {
+        let outcome = rig.runs()[0].outcome;
+        matches!(outcome, RunOutcome::Cancelled | RunOutcome::Gone)
+    });
+    Ok(())
+}
+
+#[gtest]
+fn long_prompt_is_processed_apart_and_its_cache_handed_on() -> Result<()> {
+    let rig = Rig::start(RigSettings::default());
+    rig.control.set_role("engine0-1", EndpointRole::Prefill);
+    rig.control.set_role("engine1-1", EndpointRole::Decode);
+    let prompt = "long prompt ".repeat(1000);
+    eventually("the roles are known", || {
+        let mut stream = EventStream::open(rig.entry.address, &prompt, 20);
+        let end = stream.read_to_end();
+        assert_that!(end, eq(StreamEnd::Whole));
+        assert_that!(stream.text, eq(&answer_text(MODEL, &prompt, 20)));
+        rig.runs().iter().any(|run| run.kind == RunKind::Export)
+    });
+    let runs = rig.runs();
+    let export = runs.iter().find(|run| run.kind == RunKind::Export).or_fail()?;
+    let answer = runs
+        .iter()
+        .find(|run| run.kind == RunKind::Completion && run.request == export.request)
+        .or_fail()?;
+    expect_that!(export.endpoint, eq("engine0-1"));
+    expect_that!(answer.endpoint, eq("engine1-1"));
+    expect_that!(answer.cached_tokens, eq(answer.prompt_tokens));
+    Ok(())
+}
+
 #[gtest]
 fn answer_survives_the_crash_of_its_engine() -> Result<()> {
     let rig = Rig::start(RigSettings::default());
--- a/crates/entry/tests/support/caller.rs
+++ b/crates/entry/tests/support/caller.rs
@@ -122,11 +122,16 @@
 impl EventStream {
     /// Starts a streamed completion.
     pub fn open(address: SocketAddr, prompt: &str, max_tokens: u32) -> Self {
+        Self::open_with(address, &prompt_body(prompt, max_tokens, true))
+    }
+
+    /// Starts a streamed completion with this body, at an entry or an engine.
+    pub fn open_with(address: SocketAddr, body: &str) -> Self {
         let answer = agent()
             .post(format!("http://{address}/v1/completions"))
             .header("Authorization", format!("Bearer {API_KEY}"))
             .header("Content-Type", "application/json")
-            .send(prompt_body(prompt, max_tokens, true))
+            .send(body)
             .expect("the entry answers");
         let status = answer.status().as_u16();
         let reader: Box<dyn Read + Send> = Box::new(answer.into_body().into_reader());
--- a/crates/entry/tests/support/control.rs
+++ b/crates/entry/tests/support/control.rs
@@ -140,6 +140,16 @@
         });
     }
 
+    /// Tells that an engine has this role.
+    pub fn set_role(&self, name: &str, role: EndpointRole) {
+        self.change(|state| {
+            for view in state.fleet.endpoints.iter_mut().filter(|view| view.name == name) {
+                view.role = role;
+            }
+            state.fleet.version += 1;
+        });
+    }
+
     fn change(&self, change: impl FnOnce(&mut State)) {
         let mut state = self.state.lock().expect("not poisoned");
         change(&mut state);
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -73,6 +73,8 @@
     pub record: SocketAddr,
     /// Address of the platform.
     pub platform: SocketAddr,
+    /// Addresses of the engines.
+    pub engines: Vec<SocketAddr>,
     /// The fake control process of the first entry.
     pub control: FakeControl,
     /// The first entry.
@@ -137,8 +139,15 @@
         let deployment = StandinDeployment::start(&standins).expect("stand-ins start");
         let control = FakeControl::start(&settings, &engines, &services);
         let entry = start_entry("e1", &settings, platform, control.address);
-        let rig =
-            Self { recorder: deployment.recorder, record, platform, control, entry, settings };
+        let rig = Self {
+            recorder: deployment.recorder,
+            engines,
+            record,
+            platform,
+            control,
+            entry,
+            settings,
+        };
         rig.wait_ready(rig.entry.address);
         rig
     }
