Leases with fencing numbers, recorded orders and acknowledged losses

An instance takes leases only once the platform lists its own run, and a run counts as gone only when it is listed as gone, a later run is listed, or it was absent for longer than the list's lag.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -1,16 +1,19 @@
 //! The actor that owns the state of a control process.
 
 mod collect;
+mod leases;
 mod links;
+mod orders;
 mod platform;
 mod push;
 mod report;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use agatestair_platform::Platform;
-use agatestair_policy::{Moment, ShareAllocator, ShareSettings};
+use agatestair_policy::{Moment, RolePlanner, ShareAllocator, ShareSettings};
 use agatestair_runtime::log_event;
 use agatestair_schema::link::{DemandReport, Presence};
 use agatestair_schema::settings::ControlSettings;
@@ -24,8 +27,10 @@
 use crate::events::{PROTECTION_OFF, STARTED, STOPPED, STOPPING};
 use crate::fleet::Fleet;
 use crate::lane::Lane;
+use crate::lease::{LeaseBook, LeaseSettings};
 use crate::lists::ListsKeeper;
 use crate::members::Members;
+use crate::orders::OrderBook;
 use crate::peers::Peers;
 use crate::probe::Probe;
 use crate::schedule::Periodic;
@@ -39,6 +44,10 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which all is pushed to the entry again.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval of the work on orders.
+const ORDERS_INTERVAL: Duration = Duration::from_millis(100);
+/// Rounds of renewal within the duration of a lease.
+const LEASE_ROUNDS: u64 = 4;
 /// Threads that poll endpoints.
 const PROBE_LANES: usize = 4;
 /// Longest wait for the answer of a polled endpoint.
@@ -59,7 +68,10 @@
 /// Threads that make blocking calls, by purpose.
 struct Lanes {
     instances: Lane,
+    leases: Lane,
     lists: Lane,
+    orders: Lane,
+    sends: Lane,
     wishes: Lane,
     probes: Vec<Lane>,
 }
@@ -68,7 +80,9 @@
 struct Timers {
     beat: Periodic,
     instances: Periodic,
+    leases: Periodic,
     lists: Periodic,
+    orders: Periodic,
     poll: Periodic,
     push: Periodic,
     refresh: Periodic,
@@ -92,6 +106,14 @@
     fleet: Fleet,
     lists: ListsKeeper,
     entry: EntrySide,
+    leases: LeaseBook,
+    leases_read: Option<Moment>,
+    lease_writes: usize,
+    loading_orders: bool,
+    orders: OrderBook,
+    order_probe: Probe,
+    planners: BTreeMap<Arc<str>, RolePlanner>,
+    protections: Protections,
     shares: ShareAllocator,
     demand: Option<DemandReport>,
     stopping: Option<Moment>,
@@ -138,7 +160,7 @@
         log_event!(log, STARTED, "listen" => &settings.listen, "boot" => &*boot);
         let own: Arc<str> = settings.instance.name.as_str().into();
         Self {
-            boot,
+            boot: boot.clone(),
             log,
             clock,
             platform: Platform::new(&settings.platform),
@@ -146,10 +168,18 @@
             lanes,
             timers: new_timers(&settings),
             peers,
-            members: Members::new(own.clone()),
+            members: Members::new(own.clone(), boot.clone()),
             fleet: Fleet::default(),
             lists: ListsKeeper::new(protections.revision_guard),
             entry: EntrySide::default(),
+            leases: LeaseBook::new(lease_settings(&settings), own.clone(), boot.clone()),
+            leases_read: None,
+            lease_writes: 0,
+            loading_orders: false,
+            orders: OrderBook::default(),
+            order_probe: Probe::new(PROBE_TIMEOUT),
+            planners: BTreeMap::new(),
+            protections,
             shares: ShareAllocator::new(ShareSettings::default()),
             demand: None,
             stopping: None,
@@ -172,6 +202,12 @@
             Event::Lists(result) => self.on_lists(now, result),
             Event::Wishes(result) => self.on_wishes(now, result),
             Event::Probed(probed) => self.on_probed(now, probed),
+            Event::Leases(result) => self.on_leases(now, result),
+            Event::LeaseWritten(write) => self.on_lease_written(now, write),
+            Event::Orders(epochs, result) => self.on_orders(now, &epochs, result),
+            Event::OrderWritten(write) => self.on_order_written(now, write),
+            Event::OrderAnswered(name, reply) => self.on_order_answered(now, &name, reply),
+            Event::EngineSeen(name, state) => self.on_engine_seen(now, &name, &state),
             Event::Status(reply) => {
                 // The operator has gone if this fails.
                 let _ = reply.send(self.status(now));
@@ -185,6 +221,8 @@
         let now = self.clock.now();
         self.read_platform(now);
         self.poll_endpoints(now);
+        self.run_leases(now);
+        self.run_orders(now);
         self.push_all(now);
         if self.stopping.is_some_and(|since| self.may_end(now, since)) {
             log_event!(self.log, STOPPED);
@@ -197,6 +235,7 @@
             log_event!(self.log, STOPPING);
             self.stopping = Some(now);
             self.timers.beat.hasten();
+            self.timers.leases.hasten();
         }
     }
 
@@ -205,7 +244,8 @@
         let patience = Duration::from_millis(self.settings.patience_ms);
         let entry_leaves = self.entry.link.is_some() && !self.entry.is_live();
         let wait = if entry_leaves { patience } else { 2 * HEARTBEAT_INTERVAL };
-        now.since(since) >= wait
+        let elapsed = now.since(since);
+        elapsed >= patience || (elapsed >= wait && !self.leases.holds_any())
     }
 
     /// State that this instance says of itself.
@@ -217,13 +257,25 @@
     }
 }
 
+fn lease_settings(settings: &ControlSettings) -> LeaseSettings {
+    let margin = Protections::from(settings).lease_margin;
+    LeaseSettings {
+        duration: Duration::from_millis(settings.lease_ms),
+        margin: margin.then(|| Duration::from_millis(settings.margin_ms)),
+        shards: settings.shards,
+    }
+}
+
 fn start_lanes(events: &Channel<Event>) -> std::io::Result<Lanes> {
     let probes: Result<Vec<Lane>, _> = (0..PROBE_LANES)
         .map(|index| Lane::start(&format!("probe-{index}"), events.clone()))
         .collect();
     Ok(Lanes {
         instances: Lane::start("instances", events.clone())?,
+        leases: Lane::start("leases", events.clone())?,
         lists: Lane::start("lists", events.clone())?,
+        orders: Lane::start("orders", events.clone())?,
+        sends: Lane::start("sends", events.clone())?,
         wishes: Lane::start("wishes", events.clone())?,
         probes: probes?,
     })
@@ -235,7 +287,9 @@
     Timers {
         beat: Periodic::new(HEARTBEAT_INTERVAL),
         instances: Periodic::new(INSTANCES_INTERVAL),
+        leases: Periodic::new(Duration::from_millis(settings.lease_ms / LEASE_ROUNDS)),
         lists: Periodic::new(lists),
+        orders: Periodic::new(ORDERS_INTERVAL),
         poll: Periodic::new(poll),
         push: Periodic::new(poll),
         refresh: Periodic::new(REFRESH_INTERVAL),
--- a/crates/control/src/control/links.rs
+++ b/crates/control/src/control/links.rs
@@ -73,6 +73,9 @@
             }
             LinkMessage::Cache(batch) => self.push_entry(LinkMessage::Cache(batch)),
             LinkMessage::Demand(demand) => self.shares.note_demand(now, &demand),
+            LinkMessage::Loss(loss) if *loss.holder == *peer.instance => {
+                self.leases.note_acknowledged(loss.shard, &loss.holder, loss.epoch);
+            }
             _ => {}
         }
     }
--- a/crates/control/src/control/platform.rs
+++ b/crates/control/src/control/platform.rs
@@ -152,7 +152,7 @@
         match result {
             Ok(wishes) => {
                 self.note_answer(now);
-                self.fleet.note_wishes(&wishes);
+                self.fleet.note_wishes(now, &wishes);
             }
             Err(error) => self.note_failure("wishes", &error),
         }
--- a/crates/control/src/control/report.rs
+++ b/crates/control/src/control/report.rs
@@ -10,8 +10,9 @@
 
 use super::Control;
 use crate::fleet::Known;
+use crate::lease::shard_of;
 use crate::members::Seen;
-use crate::status::{EndpointStatus, InstanceStatus, StatusReport};
+use crate::status::{EndpointStatus, InstanceStatus, LeaseStatus, StatusReport};
 
 impl Control {
     /// What this instance knows now.
@@ -30,13 +31,29 @@
             fresh: self.fresh,
             instance: self.own.to_string(),
             instances,
-            leases: Vec::new(),
+            leases: self.lease_statuses(now),
             lists_age: age_ms(now, self.lists.confirmed()),
             revision: self.lists.revision(),
             store_age: age_ms(now, self.store_ok),
         }
     }
 
+    fn lease_statuses(&self, now: Moment) -> Vec<LeaseStatus> {
+        let age_ms = age_ms(now, self.leases_read);
+        let rows =
+            self.leases.shards().iter().filter_map(|shard| Some((shard, shard.row.as_ref()?)));
+        rows.map(|(shard, row)| LeaseStatus {
+            age_ms,
+            epoch: row.epoch,
+            fencing: row.fencing,
+            former: u32::try_from(row.former.len()).unwrap_or(u32::MAX),
+            holder: row.holder.clone(),
+            own: shard.held.as_ref().is_some_and(|held| now < held.deadline),
+            shard: row.shard,
+        })
+        .collect()
+    }
+
     fn own_status(&self) -> InstanceStatus {
         InstanceStatus {
             address: self.settings.entry.clone(),
@@ -63,6 +80,7 @@
         let wish = known.wish.as_ref().map_or(WishState::Serve, |wish| wish.state);
         let collector = owner(name, live).map_or("", |index| &*live[index]);
         let view = self.fleet.view(now, known);
+        let order = self.orders.work(name);
         EndpointStatus {
             active: view.active,
             address: view.address,
@@ -73,11 +91,11 @@
             kind: view.kind.to_string(),
             models: view.models,
             name: view.name,
-            order: String::new(),
+            order: order.map(|work| work.row.kind.clone()).unwrap_or_default(),
             queued: view.queued,
             role: view.role.to_string(),
             service: view.service,
-            shard: 0,
+            shard: shard_of(&known.view.service, self.settings.shards),
             state: view.state.to_string(),
             wish: wish.to_string(),
         }
--- a/crates/control/src/events.rs
+++ b/crates/control/src/events.rs
@@ -40,6 +40,24 @@
     text: "protection switched off by a test setting",
 };
 
+/// A lease was taken.
+pub const LEASE_TAKEN: Event = Event { number: 2011, level: Level::Info, text: "lease taken" };
+/// A lease was handed over.
+pub const LEASE_RELEASED: Event =
+    Event { number: 2012, level: Level::Info, text: "lease handed over" };
+/// Another instance holds a lease that this one held.
+pub const LEASE_LOST: Event = Event { number: 2013, level: Level::Warning, text: "lease lost" };
+/// An order was sent.
+pub const ORDER_SENT: Event = Event { number: 2014, level: Level::Info, text: "order sent" };
+/// The effect of an order was seen and recorded.
+pub const ORDER_DONE: Event = Event { number: 2015, level: Level::Info, text: "order done" };
+/// An engine refused an order for its fencing number.
+pub const ORDER_STALE: Event =
+    Event { number: 2016, level: Level::Warning, text: "order refused as stale" };
+/// An engine can't carry an order out.
+pub const ORDER_REFUSED: Event =
+    Event { number: 2017, level: Level::Error, text: "order refused as invalid" };
+
 /// All events, for the catalogue.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -53,4 +71,11 @@
     FRESHNESS,
     STOPPING,
     PROTECTION_OFF,
+    LEASE_TAKEN,
+    LEASE_RELEASED,
+    LEASE_LOST,
+    ORDER_SENT,
+    ORDER_DONE,
+    ORDER_STALE,
+    ORDER_REFUSED,
 ];
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -30,6 +30,8 @@
     pub measured: Option<Moment>,
     /// What operators want.
     pub wish: Option<EndpointWish>,
+    /// When this instance learnt of the wish.
+    pub wish_seen: Option<Moment>,
     /// Polls in a row without an answer.
     pub failures: u32,
     /// Whether a poll is under way.
@@ -76,11 +78,12 @@
     }
 
     /// Takes over the operators' wishes.
-    pub fn note_wishes(&mut self, wishes: &[EndpointWish]) {
+    pub fn note_wishes(&mut self, now: Moment, wishes: &[EndpointWish]) {
         for known in self.known.values_mut() {
             let wish = wishes.iter().find(|wish| wish.endpoint == known.record.name);
             if known.wish.as_ref() != wish {
                 known.wish = wish.cloned();
+                known.wish_seen = Some(now);
                 known.idle_since = None;
             }
         }
@@ -217,6 +220,7 @@
         view,
         measured: None,
         wish: None,
+        wish_seen: None,
         failures: 0,
         probing: false,
         cache_after: 0,
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -8,6 +8,8 @@
 use agatestair_schema::link::{EntryRecord, Heartbeat, Presence};
 use agatestair_schema::platform::{InstanceKind, InstanceRecord, InstanceState};
 
+use crate::runs::Runs;
+
 /// Time without a heartbeat after which an instance counts as away.
 const SILENT_AFTER: Duration = Duration::from_millis(2500);
 /// Time that an instance listed as live, but never heard of, counts as live.
@@ -31,12 +33,14 @@
 pub struct Members {
     peers: BTreeMap<Arc<str>, Seen>,
     own: Arc<str>,
+    boot: Arc<str>,
+    runs: Runs,
 }
 
 impl Members {
-    /// Knows nobody but `own`.
-    pub fn new(own: Arc<str>) -> Self {
-        Self { peers: BTreeMap::new(), own }
+    /// Knows nobody but `own`, in its run `boot`.
+    pub fn new(own: Arc<str>, boot: Arc<str>) -> Self {
+        Self { peers: BTreeMap::new(), own, boot, runs: Runs::default() }
     }
 
     /// Takes over the platform's list.
@@ -44,6 +48,7 @@
         for seen in self.peers.values_mut() {
             seen.record = None;
         }
+        self.runs.note_list(now, records);
         let own = self.own.clone();
         let entries = records.iter().filter(|record| record.kind == InstanceKind::Entry);
         for record in entries.filter(|record| record.name != *own) {
@@ -142,13 +147,14 @@
         self.peers.values().filter_map(|seen| seen.entry(now, contact)).collect()
     }
 
-    /// Whether the platform lists this run of an instance as gone.
-    pub fn is_gone(&self, name: &str, boot: &str) -> bool {
-        let record = self.peers.get(name).and_then(|seen| seen.record.as_ref());
-        record.is_some_and(|record| {
-            let other = !record.boot.is_empty() && record.boot != boot;
-            record.state == InstanceState::Gone || other
-        })
+    /// Whether the platform shows that a run of an instance is gone.
+    pub fn is_gone(&self, now: Moment, name: &str, boot: &str) -> bool {
+        self.runs.is_gone(now, name, boot)
+    }
+
+    /// Whether the platform lists the present run of this instance.
+    pub fn is_own_listed(&self) -> bool {
+        self.runs.is_listed(&self.own, &self.boot)
     }
 }
 
--- a/crates/control/src/probe.rs
+++ b/crates/control/src/probe.rs
@@ -51,7 +51,6 @@
     agent: Arc<Mutex<Agent>>,
 }
 
-#[allow(dead_code)]
 impl Probe {
     /// Creates a client whose calls end within `timeout`.
     pub fn new(timeout: Duration) -> Self {
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -1,3 +1,3 @@
 //! Status for operators.
 
-pub use agatestair_schema::status::{EndpointStatus, InstanceStatus, StatusReport};
+pub use agatestair_schema::status::{EndpointStatus, InstanceStatus, LeaseStatus, StatusReport};
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -1,12 +1,16 @@
 //! Blocking calls of the platform, made on lanes.
 
 use agatestair_platform::{Platform, PlatformError, Purpose};
-use agatestair_schema::lists::{EndpointWish, Lists};
+use agatestair_schema::lists::{EndpointWish, LeaseRow, Lists, OrderRow};
 use agatestair_schema::platform::Row;
 use serde::de::DeserializeOwned;
 
 /// Row that holds the two lists.
 pub const LISTS_ROW: &str = "lists";
+/// Start of the keys of leases.
+const LEASE_PREFIX: &str = "lease/";
+/// Start of the keys of orders.
+const ORDER_PREFIX: &str = "order/";
 /// Start of the keys of wishes.
 pub const WISH_PREFIX: &str = "wish/";
 
@@ -29,6 +33,43 @@
     platform.table().rows(Purpose::Wish, WISH_PREFIX)?.iter().map(parse_row).collect()
 }
 
+/// Reads all lease rows with their versions.
+///
+/// # Errors
+///
+/// [`PlatformError`] if they could not be read.
+pub fn read_leases(platform: &Platform) -> Result<Vec<(LeaseRow, u64)>, PlatformError> {
+    read_versions(platform, Purpose::Lease, LEASE_PREFIX)
+}
+
+/// Reads all order rows with their versions.
+///
+/// # Errors
+///
+/// [`PlatformError`] if they could not be read.
+pub fn read_orders(platform: &Platform) -> Result<Vec<(OrderRow, u64)>, PlatformError> {
+    read_versions(platform, Purpose::Order, ORDER_PREFIX)
+}
+
+fn read_versions<T: DeserializeOwned>(
+    platform: &Platform,
+    purpose: Purpose,
+    prefix: &str,
+) -> Result<Vec<(T, u64)>, PlatformError> {
+    let rows = platform.table().rows(purpose, prefix)?;
+    rows.iter().map(|row| Ok((parse_row(row)?, row.version))).collect()
+}
+
+/// Key of the lease row of a shard.
+pub fn lease_key(shard: u32) -> String {
+    format!("{LEASE_PREFIX}{shard}")
+}
+
+/// Key of the order row of an endpoint.
+pub fn order_key(endpoint: &str) -> String {
+    format!("{ORDER_PREFIX}{endpoint}")
+}
+
 /// Reads the value of a row.
 ///
 /// # Errors
