--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -153,7 +153,7 @@
         gone: false,
     },
     GoneCase { name: "not listed yet", listed: None, after: SECOND, gone: false },
-    GoneCase { name: "absent for long", listed: None, after: 60 * SECOND, gone: true },
+    GoneCase { name: "absent for long", listed: None, after: Duration::from_secs(60), gone: true },
 ];
 
 #[gtest]
