--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -120,6 +120,7 @@
     store_ok: Option<Moment>,
     store_down: bool,
     registered: Option<Presence>,
+    registered_at: Option<Moment>,
     fresh: bool,
     _guard: ChannelGuard,
 }
@@ -186,6 +187,7 @@
             store_ok: None,
             store_down: false,
             registered: None,
+            registered_at: None,
             fresh: false,
             own,
             settings,
--- a/crates/control/src/control/links.rs
+++ b/crates/control/src/control/links.rs
@@ -104,8 +104,12 @@
     fn on_beat(&mut self, now: Moment, link: LinkKey, beat: Heartbeat) {
         let revision = beat.revision;
         let before = self.members.get(&beat.instance).and_then(|seen| seen.beat.as_ref());
+        let unknown = before.is_none();
         let changed = before.map(|before| before.presence) != Some(beat.presence);
         self.members.note_beat(now, beat);
+        if unknown {
+            self.dial_peers();
+        }
         if changed {
             self.timers.refresh.hasten();
         }
--- a/crates/control/src/control/orders.rs
+++ b/crates/control/src/control/orders.rs
@@ -39,7 +39,7 @@
 
     /// Decides on new orders for the engines whose lease this instance may use.
     fn start_orders(&mut self, now: Moment) {
-        if self.stopping.is_some() {
+        if self.stopping.is_some() || !self.members.is_own_listed() {
             return;
         }
         let services = self.engine_services();
--- a/crates/control/src/control/platform.rs
+++ b/crates/control/src/control/platform.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use agatestair_platform::PlatformError;
 use agatestair_policy::Moment;
@@ -18,6 +19,9 @@
 use crate::peers::dial_targets;
 use crate::store::{read_lists, read_wishes};
 
+/// Time after which an instance that is not listed registers again.
+const REGISTER_AGAIN: Duration = Duration::from_secs(5);
+
 impl Control {
     /// Starts the reads that are due.
     pub(super) fn read_platform(&mut self, now: Moment) {
@@ -45,6 +49,15 @@
         let directory = self.platform.instances();
         self.lanes.instances.run(move || Event::Registered(directory.register(&record)));
         self.registered = Some(self.presence());
+        self.registered_at = Some(self.clock.now());
+    }
+
+    /// Registers again if the platform lists another run of this instance, or none.
+    fn register_again(&mut self, now: Moment) {
+        let waited = self.registered_at.is_some_and(|at| now.since(at) >= REGISTER_AGAIN);
+        if waited && !self.members.is_own_listed() {
+            self.registered = None;
+        }
     }
 
     fn own_record(&self) -> InstanceRecord {
@@ -85,6 +98,7 @@
             Ok(records) => {
                 self.note_answer(now);
                 self.members.note_list(now, &records);
+                self.register_again(now);
                 self.fleet.note_list(now, &records);
                 self.shares.set_entries(&self.members.listed());
                 self.dial_peers();
@@ -93,13 +107,12 @@
         }
     }
 
-    fn dial_peers(&mut self) {
-        let names = self.members.listed();
+    pub(super) fn dial_peers(&mut self) {
+        let names = self.members.linked();
         let mut wanted: BTreeMap<Arc<str>, SocketAddr> = BTreeMap::new();
         for name in dial_targets(&self.own, &names) {
-            let record = self.members.get(&name).and_then(|seen| seen.record.as_ref());
-            let address = record.and_then(|r| r.control.as_deref()).and_then(|a| a.parse().ok());
-            if let Some(address) = address {
+            let control = self.members.get(&name).and_then(|seen| seen.control());
+            if let Some(address) = control.and_then(|control| control.parse().ok()) {
                 wanted.insert(name, address);
             }
         }
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -134,6 +134,18 @@
         names
     }
 
+    /// Names of the instances to be linked to, in order, this one included.
+    ///
+    /// Besides the listed ones these are those known by heartbeats alone, so that links come back
+    /// after a restart of every instance in turn while the platform is down.
+    pub fn linked(&self) -> Vec<Arc<str>> {
+        let mut names = self.listed();
+        let by_beat = self.peers.iter().filter(|(_, s)| s.record.is_none() && s.beat.is_some());
+        names.extend(by_beat.map(|(name, _)| name.clone()));
+        names.sort_unstable();
+        names
+    }
+
     /// Whether any peer was heard of lately.
     pub fn has_contact(&self, now: Moment) -> bool {
         self.peers.values().any(|seen| seen.is_heard(now))
@@ -173,6 +185,12 @@
         listed && self.beat.is_none() && now.since(self.since) < GRACE
     }
 
+    /// Address of its control process.
+    pub fn control(&self) -> Option<&str> {
+        let listed = self.record.as_ref().and_then(|record| record.control.as_deref());
+        listed.or(self.beat.as_ref().map(|beat| beat.control.as_str()))
+    }
+
     fn entry(&self, now: Moment, contact: bool) -> Option<EntryRecord> {
         if self.is_heard(now) {
             let beat = self.beat.as_ref()?;
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -74,12 +74,13 @@
 
 /// Names that `own` dials, among `names`, which include it.
 ///
-/// Up to [`FULL_MESH`] instances each pair has one link, dialled by the first in order of name.
+/// Up to [`FULL_MESH`] instances each dials all others: a process that starts while the platform
+/// is down knows no address, and learns the lists from those that dial it.
 /// Above it the instances form a ring in hash order, and each dials those at distances of powers of
 /// two, so that any message reaches all instances within a number of hops that is logarithmic.
 pub fn dial_targets(own: &str, names: &[Arc<str>]) -> Vec<Arc<str>> {
     if names.len() <= FULL_MESH {
-        return names.iter().filter(|name| &***name > own).cloned().collect();
+        return names.iter().filter(|name| &***name != own).cloned().collect();
     }
     let ring = rank(names);
     let Some(place) = ring.iter().position(|index| &*names[*index] == own) else {
--- a/crates/control/src/runs.rs
+++ b/crates/control/src/runs.rs
@@ -62,7 +62,9 @@
         };
         match run.state {
             None => long(run.since),
-            Some(InstanceState::Gone) => *run.boot >= *boot || long(run.since),
+            Some(InstanceState::Gone) => {
+                run.boot.is_empty() || *run.boot >= *boot || long(run.since)
+            }
             // Identifiers of later runs sort after earlier ones; the list may show an earlier one.
             Some(_) => *run.boot > *boot || (run.boot != boot && long(run.since)),
         }
--- /dev/null
+++ b/crates/control/tests/fleet.rs
@@ -0,0 +1,274 @@
+//! Promises about orders and lists, with real processes and the stand-ins' records.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use agatestair_ctl::{CtlError, Operator};
+use agatestair_schema::lists::WishState;
+use agatestair_schema::platform::PlatformFaults;
+use agatestair_schema::standins::{HoldPage, OrderPage, OrderRecord};
+use agatestair_schema::status::StatusReport;
+use agatestair_testbed::checker::{PromiseCounts, Records, check};
+use agatestair_testbed::{Layout, Testbed, TestbedOptions, Timing, build_binaries};
+use googletest::prelude::*;
+
+/// Longest wait for an event; reaching it is a failure.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time between two looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Starts three instances before the engines of the word game dictionaries.
+fn start(fenced: bool) -> Testbed {
+    build_binaries().expect("binaries build");
+    let options = TestbedOptions {
+        layout: Layout { fenced, ..Layout::lexicon() },
+        entries: 3,
+        plan_roles: false,
+        list_lag: 300,
+        timing: Timing::short(),
+        ..TestbedOptions::default()
+    };
+    Testbed::start(options).expect("the deployment starts")
+}
+
+/// Waits until `look` sees something.
+fn wait_for<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let deadline = Instant::now() + EVENT_TIMEOUT;
+    while Instant::now() < deadline {
+        if let Some(seen) = look() {
+            return seen;
+        }
+        thread::sleep(LOOK_INTERVAL);
+    }
+    panic!("not seen in time: {what}");
+}
+
+fn operator(testbed: &Testbed) -> Operator {
+    Operator::new(&testbed.plan.ctl_settings())
+}
+
+/// Status as known by one instance.
+fn status(testbed: &Testbed, index: usize) -> Option<StatusReport> {
+    testbed.client.get(&testbed.instances[index].plan.admin, "/v1/status").ok()
+}
+
+/// Holder of the lease on `endpoint` as known by an instance, with the former holders' number.
+fn holder(testbed: &Testbed, index: usize, endpoint: &str) -> Option<(String, u32)> {
+    let status = status(testbed, index)?;
+    let shard = status.endpoints.iter().find(|known| known.name == endpoint)?.shard;
+    let lease = status.leases.iter().find(|lease| lease.shard == shard)?;
+    (!lease.holder.is_empty()).then(|| (lease.holder.clone(), lease.former))
+}
+
+/// Index of the instance that holds the lease on `endpoint` and of another one.
+fn find_holder(testbed: &Testbed, endpoint: &str) -> (usize, usize) {
+    let name = wait_for("a lease holder", || holder(testbed, 0, endpoint)).0;
+    let found = testbed.instances.iter().position(|instance| instance.plan.name == name);
+    let held = found.expect("the holder is an instance");
+    (held, (held + 1) % testbed.instances.len())
+}
+
+fn orders(testbed: &Testbed, endpoint: &str) -> Vec<OrderRecord> {
+    let page: OrderPage =
+        testbed.client.get(&testbed.plan.recorder, "/orders").expect("the recorder answers");
+    page.orders.into_iter().filter(|order| order.endpoint == endpoint).collect()
+}
+
+/// Waits until an order of `kind` took effect at `endpoint`.
+fn wait_order(testbed: &Testbed, endpoint: &str, kind: &str) -> OrderRecord {
+    wait_for("an order", || {
+        let done = |order: &OrderRecord| order.kind == kind && order.result == "done";
+        orders(testbed, endpoint).into_iter().find(done)
+    })
+}
+
+/// The promises as the stand-ins' records show them.
+fn promises(testbed: &Testbed) -> PromiseCounts {
+    let records = Records::read(&testbed.client, &testbed.plan.recorder).expect("records");
+    check(&records, &[])
+}
+
+fn drain(testbed: &Testbed, endpoint: &str) {
+    operator(testbed).wish(endpoint, WishState::Drain, None).expect("the wish is accepted");
+}
+
+#[gtest]
+fn paused_holder_of_checking_engines_is_replaced() {
+    let testbed = start(true);
+    let engine = testbed.engine_names().remove(0);
+    let (held, other) = find_holder(&testbed, &engine);
+    testbed.instances[held].control.pause();
+    drain(&testbed, &engine);
+    let order = wait_order(&testbed, &engine, "drain");
+    expect_that!(order.holder, not(eq(&testbed.instances[held].plan.name)));
+    testbed.instances[held].control.resume();
+    wait_for("an acknowledged loss", || holder(&testbed, other, &engine).filter(|h| h.1 == 0));
+    let counts = promises(&testbed);
+    expect_that!(counts.is_clean(), eq(true), "{counts}");
+}
+
+#[gtest]
+fn engines_that_ignore_fencing_wait_for_the_former_holder() {
+    let testbed = start(false);
+    let engine = testbed.engine_names().remove(0);
+    let (held, other) = find_holder(&testbed, &engine);
+    let name = testbed.instances[held].plan.name.clone();
+    testbed.instances[held].control.pause();
+    drain(&testbed, &engine);
+    let taken = wait_for("a new holder", || {
+        holder(&testbed, other, &engine).filter(|(holder, _)| *holder != name)
+    });
+    expect_that!(taken.1, eq(1));
+    expect_that!(orders(&testbed, &engine), is_empty());
+    testbed.instances[held].control.resume();
+    let order = wait_order(&testbed, &engine, "drain");
+    expect_that!(order.holder, not(eq(&name)));
+    let counts = promises(&testbed);
+    expect_that!(counts.is_clean(), eq(true), "{counts}");
+}
+
+/// Where the holder is killed.
+struct CrashCase {
+    name: &'static str,
+    hold_before: u32,
+    hold_after: u32,
+    hold_count: u32,
+}
+
+const CRASH_CASES: &[CrashCase] = &[
+    CrashCase { name: "before the intent", hold_before: 1, hold_after: 0, hold_count: 0 },
+    CrashCase { name: "after the intent", hold_before: 0, hold_after: 1, hold_count: 0 },
+    CrashCase { name: "before the effect's record", hold_before: 1, hold_after: 0, hold_count: 1 },
+    CrashCase { name: "after the effect's record", hold_before: 0, hold_after: 1, hold_count: 1 },
+];
+
+#[gtest]
+fn order_takes_effect_once_though_its_holder_crashes() {
+    for case in CRASH_CASES {
+        let mut testbed = start(true);
+        let engine = testbed.engine_names().remove(0);
+        let (held, _) = find_holder(&testbed, &engine);
+        let faults = PlatformFaults {
+            delay_ms: 0,
+            hold_after: case.hold_after,
+            hold_before: case.hold_before,
+            hold_count: case.hold_count,
+            list_lag_ms: 300,
+            lose_replies: 0,
+            outage: false,
+            prefix: "order/".to_owned(),
+        };
+        testbed.fault_platform(&faults).expect("the platform answers");
+        drain(&testbed, &engine);
+        wait_for("a held transaction", || {
+            let page: HoldPage = testbed.client.get(&testbed.plan.recorder, "/holds").ok()?;
+            (!page.holds.is_empty()).then_some(())
+        });
+        testbed.spawn_control(held).expect("the control process starts");
+        testbed.release().expect("the recorder answers");
+        wait_order(&testbed, &engine, "drain");
+        wait_for("a closed record", || {
+            let row = testbed
+                .client
+                .get::<agatestair_schema::platform::Row>(
+                    &testbed.plan.platform,
+                    &format!("/table/row?key=order/{engine}"),
+                )
+                .ok()?;
+            row.value.contains("\"done\":true").then_some(())
+        });
+        let effects = orders(&testbed, &engine)
+            .into_iter()
+            .filter(|order| order.result == "done" && !order.repeat)
+            .count();
+        expect_that!(effects, eq(1), "case {}", case.name);
+        let counts = promises(&testbed);
+        expect_that!(counts.is_clean(), eq(true), "case {}: {counts}", case.name);
+    }
+}
+
+#[gtest]
+fn racing_operators_get_one_order_of_revisions() {
+    const OPERATORS: usize = 4;
+    const CHANGES: usize = 6;
+    let testbed = start(true);
+    let settings = testbed.plan.ctl_settings();
+    let apply = || {
+        let operator = Operator::new(&settings);
+        let mut accepted = Vec::new();
+        for _ in 0..CHANGES {
+            let (lists, _) = operator.current().expect("a read").expect("lists");
+            match operator.apply(lists.plans, lists.allowances, Some(lists.revision), "apply") {
+                Ok(lists) => accepted.push(lists.revision),
+                Err(CtlError::Conflict { base, newer, .. }) => assert!(newer > base),
+                Err(error) => panic!("{error}"),
+            }
+        }
+        accepted
+    };
+    let mut accepted: Vec<u64> = thread::scope(|scope| {
+        let runs: Vec<_> = (0..OPERATORS).map(|_| scope.spawn(apply)).collect();
+        runs.into_iter().flat_map(|run| run.join().expect("the operator ends")).collect()
+    });
+    accepted.sort_unstable();
+    let count = accepted.len() as u64;
+    let first = accepted[0];
+    expect_that!(accepted, eq(&(first..first + count).collect::<Vec<u64>>()));
+    let last = first + count - 1;
+    for index in 0..testbed.instances.len() {
+        wait_for("the last revision", || {
+            status(&testbed, index).filter(|status| status.revision == last)
+        });
+    }
+}
+
+#[gtest]
+fn lists_do_not_go_back_through_restarts_with_the_store_down() {
+    let mut testbed = start(true);
+    let operator = operator(&testbed);
+    let (lists, _) = operator.current().expect("a read").expect("lists");
+    let applied = operator.apply(lists.plans, lists.allowances, None, "apply");
+    let revision = applied.expect("the change is accepted").revision;
+    for index in 0..testbed.instances.len() {
+        wait_for("the new revision", || {
+            status(&testbed, index).filter(|status| status.revision == revision)
+        });
+    }
+    let faults = PlatformFaults {
+        delay_ms: 0,
+        hold_after: 0,
+        hold_before: 0,
+        hold_count: 0,
+        list_lag_ms: 300,
+        lose_replies: 0,
+        outage: true,
+        prefix: String::new(),
+    };
+    testbed.fault_platform(&faults).expect("the platform answers");
+    for index in 0..testbed.instances.len() {
+        testbed.restart_control(index).expect("the process learns the lists from its peers");
+        let known = status(&testbed, index).expect("the process answers");
+        expect_that!(known.revision, eq(revision), "instance {index}");
+    }
+    let up = PlatformFaults { outage: false, ..faults };
+    testbed.fault_platform(&up).expect("the platform answers");
+    let known = wait_for("an answer of the store", || {
+        status(&testbed, 0).filter(|status| status.store_age < 1000)
+    });
+    expect_that!(known.revision, eq(revision));
+}
+
+#[gtest]
+fn drain_can_be_undone_while_it_runs() {
+    let testbed = start(true);
+    let engine = testbed.engine_names().remove(1);
+    find_holder(&testbed, &engine);
+    drain(&testbed, &engine);
+    wait_order(&testbed, &engine, "drain");
+    operator(&testbed).wish(&engine, WishState::Serve, None).expect("the wish is accepted");
+    wait_order(&testbed, &engine, "resume");
+    wait_for("a serving engine", || {
+        let status = status(&testbed, 0)?;
+        status.endpoints.into_iter().find(|known| known.name == engine && known.state == "serving")
+    });
+}
--- /dev/null
+++ b/scripts/control-cost.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Prints what one control process costs, one JSON object a line, at several sizes:
+# usage: scripts/control-cost.sh [SECONDS]
+# AGATESTAIR_BINARIES names a folder of built binaries; without it release ones are built.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+seconds=${1:-10}
+target=${AGATESTAIR_BINARIES:-}
+if [ -z "$target" ]; then
+    cargo build --quiet --release -p agatestair-control --bins --example control_cost
+    target=${CARGO_TARGET_DIR:-target}/release
+fi
+folder=$(mktemp -d)
+control=
+finish() {
+    [ -z "$control" ] || kill "$control" 2>/dev/null || true
+    rm -rf "$folder"
+}
+trap finish EXIT
+
+# measure PORT INSTANCES ENDPOINTS CUSTOMERS
+measure() {
+    cat >"$folder/control.jsonc" <<JSON
+{
+  "instance": {"name": "entry-001", "domain": "domain", "region": "region"},
+  "listen": "127.0.0.1:$(($1 + 1))", "admin": "127.0.0.1:$(($1 + 2))",
+  "entry": "127.0.0.1:$(($1 + 3))", "platform": {"address": "127.0.0.1:$1"},
+  "link": {"key": "cost"}, "services": [{"name": "lexicon-models"}]
+}
+JSON
+    "$target/agatestair-control" --config "$folder/control.jsonc" 2>"$folder/log" &
+    control=$!
+    "$target/examples/control_cost" --pid "$control" --port "$1" --instances "$2" \
+        --endpoints "$3" --customers "$4" --seconds "$seconds"
+    kill "$control"
+    wait "$control" || true
+    control=
+}
+
+port=24000
+for instances in 2 4 8 16 64 340; do measure $port "$instances" 17 100; port=$((port + 100)); done
+for endpoints in 10 40 160 910; do measure $port 8 "$endpoints" 100; port=$((port + 100)); done
+for customers in 10 100 1000 3100; do measure $port 8 17 "$customers"; port=$((port + 100)); done
