--- a/crates/load/src/plans.rs
+++ b/crates/load/src/plans.rs
@@ -8,7 +8,7 @@
 use agatestair_schema::testbed::Deployment;
 
 /// Key of the row that holds both lists.
-pub const LISTS_KEY: &str = "lists";
+const LISTS_KEY: &str = "lists";
 /// Longest wait for the platform in milliseconds.
 const TIMEOUT_MS: u64 = 2000;
 /// Greatest number of reads or writes a second by the load tool.
@@ -53,14 +53,14 @@
     }
 }
 
-/// Access to the platform of a deployment.
-pub fn open_platform(deployment: &Deployment) -> Platform {
-    Platform::new(&PlatformSettings {
+/// Settings for access to the platform of a deployment.
+pub fn platform_settings(deployment: &Deployment) -> PlatformSettings {
+    PlatformSettings {
         address: deployment.platform.clone(),
         timeout_ms: TIMEOUT_MS,
         reads_s: RATE_S,
         writes_s: RATE_S,
-    })
+    }
 }
 
 /// Targets of each customer of the deployment, in its order.
@@ -79,6 +79,9 @@
 
 /// The lists kept in the table service; `None` if they cannot be read.
 pub fn read_lists(deployment: &Deployment) -> Option<Lists> {
-    let row = open_platform(deployment).table().row(Purpose::Lists, LISTS_KEY).ok()??;
+    let row = Platform::new(&platform_settings(deployment))
+        .table()
+        .row(Purpose::Lists, LISTS_KEY)
+        .ok()??;
     serde_json::from_str(&row.value).ok()
 }
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -20,7 +20,7 @@
 use crate::promises::{Evidence, Promises, check_promises};
 use crate::records::{Recorder, Records};
 use crate::scenario::{Fleet, Plan, Scenario, Window, rate_at};
-use crate::steps::{Operator, StepRecord, unix_ms};
+use crate::steps::{StepRecord, StepRunner, unix_ms};
 use crate::work::Arrival;
 
 /// Time before the first arrival.
@@ -210,10 +210,10 @@
     let run = format!("{started_ms:x}-{}", settings.seed);
     let stop = Arc::new(AtomicBool::new(false));
     let (steps, window) = (&plan.steps, plan.window);
-    let operator = Operator::new(deployment, settings.seed);
+    let runner = StepRunner::new(deployment, settings.seed);
     let probe = Probe::new(deployment);
     let observed = thread::scope(|scope| {
-        let steps = scope.spawn(move || operator.run(start, steps));
+        let steps = scope.spawn(move || runner.run(start, steps));
         let usage = scope.spawn(|| sample_window(&probe, start, window));
         let revisions =
             scope.spawn(|| if settings.direct { Vec::new() } else { probe.watch_revisions(&stop) });
--- a/crates/load/src/steps.rs
+++ b/crates/load/src/steps.rs
@@ -3,9 +3,10 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use agatestair_platform::{Outcome, Platform, Purpose, put_row, require};
-use agatestair_schema::lists::{EndpointWish, Lists, WishState};
+use agatestair_ctl::{CtlError, Operator};
+use agatestair_schema::lists::WishState;
 use agatestair_schema::platform::PlatformFaults;
+use agatestair_schema::settings::CtlSettings;
 use agatestair_schema::standins::EndpointFaults;
 use agatestair_schema::testbed::{Deployment, EndpointPlace, PlaceKind};
 use rand::seq::IndexedRandom;
@@ -14,7 +15,7 @@
 use serde::Serialize;
 use ureq::Agent;
 
-use crate::plans::{LISTS_KEY, open_platform};
+use crate::plans::platform_settings;
 
 /// Name under which the load tool acts as an operator.
 const OPERATOR: &str = "agatestair-load";
@@ -86,16 +87,16 @@
 }
 
 /// Carries the steps out.
-pub struct Operator {
+pub struct StepRunner {
     deployment: Deployment,
-    platform: Platform,
+    operator: Operator,
     agent: Agent,
     rng: ChaCha8Rng,
     left: Vec<String>,
 }
 
-impl Operator {
-    /// Creates the operator of one run; `seed` picks the endpoints.
+impl StepRunner {
+    /// Creates the runner of one run; `seed` picks the endpoints.
     pub fn new(deployment: &Deployment, seed: u64) -> Self {
         let agent = Agent::config_builder()
             .http_status_as_error(true)
@@ -104,7 +105,11 @@
             .into();
         Self {
             deployment: deployment.clone(),
-            platform: open_platform(deployment),
+            operator: Operator::new(&CtlSettings {
+                platform: platform_settings(deployment),
+                operator: OPERATOR.to_owned(),
+                instances: Vec::new(),
+            }),
             agent,
             rng: ChaCha8Rng::seed_from_u64(seed),
             left: Vec::new(),
@@ -206,51 +211,24 @@
     }
 
     fn wish(&self, name: &str, state: WishState, successor: Option<String>) -> Result<(), String> {
-        let wish = EndpointWish {
-            endpoint: name.to_owned(),
-            state,
-            successor,
-            operator: OPERATOR.to_owned(),
-            asked_ms: unix_ms(),
-        };
-        let key = format!("wish/{name}");
-        let table = self.platform.table();
-        for _ in 0..MAX_TRIES {
-            let row = table.row(Purpose::Wish, &key).map_err(|error| error.to_string())?;
-            let checks = vec![require(&key, row.map_or(0, |row| row.version))];
-            match table.transact(Purpose::Wish, checks, vec![put_row(&key, &wish)]) {
-                Ok(Outcome::Committed(_)) => return Ok(()),
-                Ok(Outcome::Conflict(_) | Outcome::Unknown(_)) => {}
-                Err(error) => return Err(error.to_string()),
-            }
-        }
-        Err(format!("{key}: lost {MAX_TRIES} races"))
+        let wish = || self.operator.wish(name, state, successor.clone());
+        repeat(wish).map(drop)
     }
 
     /// Applies a new revision that differs in one queue bound.
     fn change_lists(&mut self) -> Result<u64, String> {
-        let table = self.platform.table();
-        for _ in 0..MAX_TRIES {
-            let row = table.row(Purpose::Lists, LISTS_KEY).map_err(|error| error.to_string())?;
-            let row = row.ok_or("the table holds no lists; apply them first")?;
-            let mut lists: Lists =
-                serde_json::from_str(&row.value).map_err(|error| error.to_string())?;
-            lists.revision += 1;
-            OPERATOR.clone_into(&mut lists.operator);
-            lists.applied_ms = unix_ms();
+        let bound = BASE_QUEUE + self.rng.random_range(0..100);
+        let lists = repeat(|| {
+            let Some((mut lists, _)) = self.operator.current()? else {
+                let remedy = "apply them with `agatestairctl apply`".to_owned();
+                return Err(CtlError::Missing { what: "lists".to_owned(), remedy });
+            };
             if let Some(allowance) = lists.allowances.allowances.first_mut() {
-                allowance.max_queue = BASE_QUEUE + self.rng.random_range(0..100);
+                allowance.max_queue = bound;
             }
-            let history = format!("lists-history/{}", lists.revision);
-            let writes = vec![put_row(LISTS_KEY, &lists), put_row(&history, &lists)];
-            let checks = vec![require(LISTS_KEY, row.version)];
-            match table.transact(Purpose::Lists, checks, writes) {
-                Ok(Outcome::Committed(_)) => return Ok(lists.revision),
-                Ok(Outcome::Conflict(_) | Outcome::Unknown(_)) => {}
-                Err(error) => return Err(error.to_string()),
-            }
-        }
-        Err(format!("{LISTS_KEY}: lost {MAX_TRIES} races"))
+            self.operator.apply(lists.plans, lists.allowances, Some(lists.revision), "experiment")
+        });
+        lists.map(|lists| lists.revision)
     }
 
     fn outage(&self, length: Duration) -> Result<Effect, String> {
@@ -268,6 +246,24 @@
     }
 }
 
+/// Tries again after a lost race or a lost answer.
+fn repeat<T>(mut attempt: impl FnMut() -> Result<T, CtlError>) -> Result<T, String> {
+    let mut result = attempt();
+    for _ in 1..MAX_TRIES {
+        let lost = matches!(
+            result,
+            Err(CtlError::Conflict { .. }
+                | CtlError::WishConflict { .. }
+                | CtlError::Unknown { .. })
+        );
+        if !lost {
+            break;
+        }
+        result = attempt();
+    }
+    result.map_err(|error| error.to_string())
+}
+
 enum Effect {
     Endpoints(Vec<String>),
     Revision(u64),
--- a/crates/testbed/src/lists.rs
+++ b/crates/testbed/src/lists.rs
@@ -3,9 +3,10 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use agatestair_schema::LISTS_SCHEMA;
-use agatestair_schema::lists::{AllowancesList, Lists, PlansList};
+use agatestair_schema::lists::{AllowancesList, HistoryRow, Lists, PlansList};
 use agatestair_schema::platform::{Check, Committed, Rows, Transaction, Write};
 use agatestair_settings::{Definition, read_text};
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::client::Client;
@@ -60,15 +61,25 @@
         plans,
         allowances,
     };
-    let value = serde_json::to_string(&lists).unwrap_or_default();
-    let write = |key: String| Write { key, value: Some(value.clone()), ttl_ms: None };
+    let attempt = format!("testbed-lists-{revision}-{}", lists.applied_ms);
+    let history = HistoryRow {
+        applied_ms: lists.applied_ms,
+        cause: "testbed".to_owned(),
+        object: format!("lists/{revision:010}-{attempt}"),
+        operator: lists.operator.clone(),
+        revision,
+    };
+    client.put(platform, &format!("/objects/{}", history.object), &lists)?;
     let transaction = Transaction {
-        attempt: format!("testbed-lists-{revision}-{}", lists.applied_ms),
+        attempt,
         checks: vec![Check {
             key: LISTS_KEY.to_owned(),
             version: row.map_or(0, |row| row.version),
         }],
-        writes: vec![write(LISTS_KEY.to_owned()), write(format!("lists-history/{revision}"))],
+        writes: vec![
+            write(LISTS_KEY.to_owned(), &lists),
+            write(format!("lists-history/{revision:010}"), &history),
+        ],
     };
     let answer = client.post(platform, "/table/transact", &transaction)?;
     let committed = serde_json::from_str::<Committed>(&answer).is_ok_and(|answer| answer.committed);
@@ -78,3 +89,7 @@
         Err(TestbedError::Lists("another operator was first".to_owned()))
     }
 }
+
+fn write<T: Serialize>(key: String, value: &T) -> Write {
+    Write { key, value: Some(serde_json::to_string(value).unwrap_or_default()), ttl_ms: None }
+}
