--- a/crates/load/src/steps.rs
+++ b/crates/load/src/steps.rs
@@ -197,7 +197,7 @@
             WishState::Replace => staying.iter().find(|other| other.name != place.name),
             _ => None,
         };
-        self.wish(&place.name, state, successor.map(|place| place.name.clone()))?;
+        self.wish(&place.name, state, successor)?;
         self.left.push(place.name.clone());
         Ok(Effect::Endpoints(vec![place.name.clone()]))
     }
@@ -210,7 +210,13 @@
         Ok(Effect::Endpoints(names))
     }
 
-    fn wish(&self, name: &str, state: WishState, successor: Option<String>) -> Result<(), String> {
+    fn wish(
+        &self,
+        name: &str,
+        state: WishState,
+        successor: Option<&EndpointPlace>,
+    ) -> Result<(), String> {
+        let successor = successor.map(|place| place.name.clone());
         let wish = || self.operator.wish(name, state, successor.clone());
         repeat(wish).map(drop)
     }
