--- a/crates/entry/src/core/requests.rs
+++ b/crates/entry/src/core/requests.rs
@@ -82,7 +82,9 @@
             service: job.service.clone(),
             model: "".into(),
             deadline: self.moment(deadline),
-            work: Work::Call(Call { idempotent: job.idempotent }),
+            work: Work::Call(Call {
+                idempotent: job.idempotent || !self.parts.protections.single_dispatch,
+            }),
         };
         let explanation = explanation_of(&job.caller, &job.service, &"".into());
         let work = CallWork { request: job.request, idempotent: job.idempotent, reply: job.reply };
--- a/crates/standins/src/engine/worker.rs
+++ b/crates/standins/src/engine/worker.rs
@@ -515,7 +515,12 @@
     /// Ends, cuts or holds a stream after a piece.
     fn after_piece(&mut self, index: usize) -> Option<RunOutcome> {
         let sequence = &mut self.batch[index];
+        let in_order = self.shared.faults.get().cut_in_order;
         if self.shared.faults.cuts(sequence.out.pieces) {
+            if in_order {
+                // The stream ends here in any case.
+                let _ = sequence.out.finish();
+            }
             return Some(RunOutcome::Cut);
         }
         if sequence.tokens_left() == 0 {
--- a/crates/testbed/src/child.rs
+++ b/crates/testbed/src/child.rs
@@ -3,6 +3,7 @@
 use std::fs::File;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -32,7 +33,8 @@
 /// A running process; dropping it kills it.
 pub struct ChildProcess {
     command: ChildCommand,
-    child: Child,
+    id: u32,
+    child: Mutex<Child>,
 }
 
 impl ChildProcess {
@@ -55,8 +57,13 @@
             .stderr(log)
             .spawn()
             .map_err(|cause| TestbedError::io(command.program.display().to_string(), cause))?;
-        reaper::add(child.id());
-        Ok(Self { command, child })
+        let id = child.id();
+        reaper::add(id);
+        Ok(Self { command, id, child: Mutex::new(child) })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Child> {
+        self.child.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// How it was started.
@@ -66,12 +73,12 @@
 
     /// Process id.
     pub fn id(&self) -> u32 {
-        self.child.id()
+        self.id
     }
 
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
-        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let pid = i32::try_from(self.id).ok().and_then(Pid::from_raw);
         if let Some(pid) = pid {
             // A process that has ended needs no signal; it is not reaped before its owner drops.
             let _ = kill_process(pid, signal);
@@ -94,15 +101,15 @@
     }
 
     /// Whether it has ended.
-    pub fn has_ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
+    pub fn has_ended(&self) -> bool {
+        !matches!(self.lock().try_wait(), Ok(None))
     }
 
     /// Waits for its end; `None` if it still runs after `time`.
-    pub fn wait_exit(&mut self, time: Duration) -> Option<ExitStatus> {
+    pub fn wait_exit(&self, time: Duration) -> Option<ExitStatus> {
         let deadline = Instant::now() + time;
         loop {
-            if let Ok(Some(status)) = self.child.try_wait() {
+            if let Ok(Some(status)) = self.lock().try_wait() {
                 return Some(status);
             }
             if Instant::now() >= deadline {
@@ -113,11 +120,12 @@
     }
 
     /// Ends it at once.
-    pub fn kill(&mut self) {
+    pub fn kill(&self) {
+        let mut child = self.lock();
         // A process that has ended already needs no signal.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        reaper::remove(self.child.id());
+        let _ = child.kill();
+        let _ = child.wait();
+        reaper::remove(self.id);
     }
 
     /// End of its log.
--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -90,15 +90,14 @@
 
     fn start_others(&mut self) -> Result<(), TestbedError> {
         let (platform, recorder) = (self.plan.platform.clone(), self.plan.recorder.clone());
-        self.wait_healthy("standins", &platform, "/healthz")?;
-        self.wait_healthy("standins", &recorder, "/healthz")?;
+        self.wait_healthy(&self.standins, &platform, "/healthz")?;
+        self.wait_healthy(&self.standins, &recorder, "/healthz")?;
         if self.options.proxied {
             let settings = self.plan.proxy_settings(&self.options.layout);
             let proxy =
                 start_process(&self.folder, "agatestair-standins", "proxy", &["proxy"], &settings)?;
+            self.wait_healthy(&proxy, &self.plan.proxy, "/healthz")?;
             self.proxy = Some(proxy);
-            let control = self.plan.proxy.clone();
-            self.wait_healthy("proxy", &control, "/healthz")?;
         }
         self.write_lists(self.options.layout.plans, self.options.layout.allowances)?;
         for index in 0..self.plan.instances.len() {
@@ -135,8 +134,8 @@
     /// [`TestbedError`] if it cannot be started or does not become ready.
     pub fn restart_entry(&mut self, index: usize) -> Result<(), TestbedError> {
         self.spawn_entry(index)?;
-        let plan = self.instances[index].plan.clone();
-        self.wait_healthy(&plan.name, &plan.listen, "/readyz")
+        let instance = &self.instances[index];
+        self.wait_healthy(&instance.entry, &instance.plan.listen, "/readyz")
     }
 
     /// Ends the control process of an instance at once and starts it anew.
@@ -146,8 +145,8 @@
     /// [`TestbedError`] if it cannot be started or does not become ready.
     pub fn restart_control(&mut self, index: usize) -> Result<(), TestbedError> {
         self.spawn_control(index)?;
-        let plan = self.instances[index].plan.clone();
-        self.wait_healthy(&format!("{}-control", plan.name), &plan.admin, "/readyz")
+        let instance = &self.instances[index];
+        self.wait_healthy(&instance.control, &instance.plan.admin, "/readyz")
     }
 
     /// Ends the control process of an instance and starts it anew without waiting for it.
@@ -182,24 +181,28 @@
     pub fn wait_ready(&self) -> Result<(), TestbedError> {
         for instance in &self.instances {
             let plan = &instance.plan;
-            self.wait_healthy(&format!("{}-control", plan.name), &plan.admin, "/readyz")?;
-            self.wait_healthy(&plan.name, &plan.listen, "/readyz")?;
+            self.wait_healthy(&instance.control, &plan.admin, "/readyz")?;
+            self.wait_healthy(&instance.entry, &plan.listen, "/readyz")?;
         }
         Ok(())
     }
 
-    fn wait_healthy(&self, name: &str, address: &str, path: &str) -> Result<(), TestbedError> {
+    /// Waits until a process answers with success; fails at once when it has ended.
+    fn wait_healthy(
+        &self,
+        process: &ChildProcess,
+        address: &str,
+        path: &str,
+    ) -> Result<(), TestbedError> {
         let deadline = Instant::now() + self.options.ready_time;
-        while Instant::now() < deadline {
+        while Instant::now() < deadline && !process.has_ended() {
             if self.client.status(address, path) == Some(200) {
                 return Ok(());
             }
             thread::sleep(READY_POLL);
         }
-        let log = fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default();
-        let lines: Vec<&str> = log.lines().rev().take(20).collect();
-        let log = lines.into_iter().rev().collect::<Vec<_>>().join("\n");
-        Err(TestbedError::NotReady { name: format!("{name} ({address}{path})"), log })
+        let name = format!("{} ({address}{path})", process.command().name);
+        Err(TestbedError::NotReady { name, log: process.log_tail() })
     }
 
     /// Writes the two lists; returns the new revision.
@@ -357,11 +360,11 @@
 
 impl Drop for Testbed {
     fn drop(&mut self) {
-        for instance in &mut self.instances {
+        for instance in &self.instances {
             instance.entry.kill();
             instance.control.kill();
         }
-        if let Some(proxy) = &mut self.proxy {
+        if let Some(proxy) = &self.proxy {
             proxy.kill();
         }
         self.standins.kill();
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -27,5 +27,5 @@
 pub use lists::{parse_lists, write_lists};
 pub use options::{TestbedOptions, Timing};
 pub use ports::{PortBlock, address};
-pub use reaper::run as run_reaper;
+pub use reaper::{finish as finish_reaper, run as run_reaper};
 pub use settings_files::{AddressPlan, InstancePlan};
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -10,7 +10,9 @@
 
 use agatestair_schema::settings::PolicyName;
 use agatestair_testbed::matrix::{Cell, all_cells, run_cells, short_cells};
-use agatestair_testbed::{Layout, Testbed, TestbedError, TestbedOptions, run_reaper};
+use agatestair_testbed::{
+    Layout, Testbed, TestbedError, TestbedOptions, finish_reaper, run_reaper,
+};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -63,6 +65,12 @@
 }
 
 fn main() -> ExitCode {
+    let code = run();
+    finish_reaper();
+    code
+}
+
+fn run() -> ExitCode {
     match flags::AgatestairTestbed::from_env_or_exit().subcommand {
         flags::AgatestairTestbedCmd::Reap(_) => {
             run_reaper();
--- a/crates/testbed/src/matrix/cell.rs
+++ b/crates/testbed/src/matrix/cell.rs
@@ -131,7 +131,7 @@
     let recovered = wait_serving(&testbed, cell.seed + 1_000_000);
     let records = Records::read(&testbed.client, &testbed.plan.recorder)?;
     result.counts = check(&records, &callers_of(&cell, &testbed, &settled));
-    note_unsettled(cell.fault, &settled, &mut result.counts);
+    note_unsettled(&cell, &settled, &mut result.counts);
     if let Some(probe) = probe {
         probe.finish(&records, &mut result.counts);
     }
@@ -141,7 +141,8 @@
     recovered
 }
 
-/// What callers got; streams that the fault itself broke count as lost, not as cut.
+/// What callers got; streams that the fault itself broke count as lost, not as cut. Without a fault
+/// an answer that does not come is a cut too.
 fn callers_of(cell: &Cell, testbed: &Testbed, settled: &[Settled]) -> Vec<CallerRecord> {
     let mut broken = Vec::new();
     if cell.fault.breaks_streams() {
@@ -150,9 +151,13 @@
     if cell.step == Step::StartUp {
         broken.push(testbed.plan.instances[STEP_INSTANCE].name.clone());
     }
+    let planned = cell.fault == Fault::None && cell.step != Step::StartUp;
     let records = settled.iter().flat_map(|settled| settled.records.iter().cloned());
     records
         .map(|mut record| {
+            if record.seen == Seen::Lost && planned {
+                record.seen = Seen::Cut;
+            }
             if record.seen == Seen::Cut && broken.contains(&record.entry) {
                 record.seen = Seen::Lost;
             }
@@ -161,11 +166,14 @@
         .collect()
 }
 
-fn note_unsettled(fault: Fault, settled: &[Settled], counts: &mut PromiseCounts) {
+/// A key that was claimed by an entry that is killed may stay unknown: the service has not seen it,
+/// but the killed entry's call could still be on its way, so that neither answer would be safe.
+fn note_unsettled(cell: &Cell, settled: &[Settled], counts: &mut PromiseCounts) {
+    let claims_lost = cell.fault.loses_claims() || cell.step == Step::StartUp;
     for request in settled {
         let last = request.records.last();
         let unknown = last.is_some_and(|last| last.seen == Seen::Refused(RunState::Unknown));
-        if unknown && fault.loses_claims() {
+        if unknown && claims_lost {
             continue;
         }
         let detail = last.map(|last| format!("{:?} {:?}: {:?}", last.kind, last.key, last.seen));
--- a/crates/testbed/src/matrix/fault.rs
+++ b/crates/testbed/src/matrix/fault.rs
@@ -73,6 +73,8 @@
     PiecesSwapped,
     /// Streams are cut by the engines.
     StreamCut,
+    /// Streams end in order before the answer is whole.
+    StreamEnds,
     /// Answers of the plain service are lost after their effect.
     AnswerLost,
     /// Endpoints take requests and never answer.
@@ -81,7 +83,7 @@
 
 impl Fault {
     /// All faults.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::None,
         Self::EntryKilled,
         Self::ControlKilled,
@@ -108,6 +110,7 @@
         Self::PiecesMissing,
         Self::PiecesSwapped,
         Self::StreamCut,
+        Self::StreamEnds,
         Self::AnswerLost,
         Self::EndpointHangs,
     ];
@@ -141,6 +144,7 @@
             Self::PiecesMissing => "pieces-missing",
             Self::PiecesSwapped => "pieces-swapped",
             Self::StreamCut => "stream-cut",
+            Self::StreamEnds => "stream-ends",
             Self::AnswerLost => "answer-lost",
             Self::EndpointHangs => "endpoint-hangs",
         }
@@ -235,6 +239,10 @@
             Self::StreamCut => {
                 fault_engines(testbed, &EndpointFaults { cut_after: 5, cut_count: 1, ..none() })
             }
+            Self::StreamEnds => fault_engines(
+                testbed,
+                &EndpointFaults { cut_after: 5, cut_count: 1, cut_in_order: true, ..none() },
+            ),
             Self::AnswerLost => fault_plain(testbed, &EndpointFaults { lose_answers: 1, ..none() }),
             Self::EndpointHangs => fault_all(testbed, &EndpointFaults { hang: 1, ..none() }),
             _ => Ok(()),
--- a/crates/testbed/src/matrix/run.rs
+++ b/crates/testbed/src/matrix/run.rs
@@ -98,6 +98,7 @@
             | Fault::PiecesMissing
             | Fault::PiecesSwapped
             | Fault::StreamCut
+            | Fault::StreamEnds
     );
     let streams = matches!(
         step,
--- a/crates/testbed/src/matrix/step.rs
+++ b/crates/testbed/src/matrix/step.rs
@@ -15,6 +15,9 @@
 
 /// Longest wait for a step to be reached.
 const REACH_TIME: Duration = Duration::from_secs(8);
+/// Time for which streams are held after a shutdown was asked for; longer than the lifetime of the
+/// answers that name the entry.
+const LEAVE_TIME: Duration = Duration::from_millis(1800);
 /// Time between two looks at what is held.
 const REACH_POLL: Duration = Duration::from_millis(10);
 /// Instance that is restarted or shut down by a step; faults hit another.
@@ -208,6 +211,7 @@
             Self::Shutdown => {
                 let held = wait_held(testbed, 1);
                 testbed.instances[STEP_INSTANCE].entry.terminate();
+                thread::sleep(LEAVE_TIME);
                 Ok(held)
             }
             _ => Ok(wait_held(testbed, 1)),
--- a/crates/testbed/src/matrix/traffic.rs
+++ b/crates/testbed/src/matrix/traffic.rs
@@ -20,6 +20,10 @@
 const SETTLE_TIME: Duration = Duration::from_secs(20);
 /// Time between two attempts.
 const RETRY_TIME: Duration = Duration::from_millis(100);
+/// Answers in a row after which an unknown outcome is taken for the last word.
+const UNKNOWN_ANSWERS: usize = 40;
+/// Code of a refusal whose outcome is not known.
+const UNKNOWN_CODE: &str = "outcome_unknown";
 /// Completions in a cell.
 const COMPLETIONS: usize = 6;
 /// Keyed writes in a cell.
@@ -113,7 +117,7 @@
             let record = send(target);
             let settled = ended(&record);
             records.push(record);
-            if settled {
+            if settled || stays_unknown(&records) {
                 return Settled { records, settled };
             }
             thread::sleep(RETRY_TIME);
@@ -122,6 +126,12 @@
     }
 }
 
+/// Whether the last answers all said that the outcome is not known.
+fn stays_unknown(records: &[CallerRecord]) -> bool {
+    let last = records.iter().rev().take(UNKNOWN_ANSWERS);
+    records.len() >= UNKNOWN_ANSWERS && last.into_iter().all(|record| record.code == UNKNOWN_CODE)
+}
+
 /// The entries of a deployment.
 pub fn targets(testbed: &Testbed) -> Vec<Target> {
     let plans = testbed.plan.instances.iter();
--- a/crates/testbed/src/reaper.rs
+++ b/crates/testbed/src/reaper.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeSet;
 use std::io::{self, BufRead, Write};
-use std::process::{ChildStdin, Command, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::sync::{Mutex, PoisonError};
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -14,7 +14,7 @@
 
 use crate::child::binary_folder;
 
-static PIPE: Mutex<Option<ChildStdin>> = Mutex::new(None);
+static HELPER: Mutex<Option<Child>> = Mutex::new(None);
 
 /// Has the process killed when this one ends.
 pub fn add(id: u32) {
@@ -27,27 +27,36 @@
 }
 
 fn send(line: &str) {
-    let mut pipe = PIPE.lock().unwrap_or_else(PoisonError::into_inner);
-    if pipe.is_none() {
-        *pipe = start();
+    let mut helper = HELPER.lock().unwrap_or_else(PoisonError::into_inner);
+    if helper.is_none() {
+        *helper = start();
     }
-    if let Some(pipe) = pipe.as_mut() {
+    if let Some(pipe) = helper.as_mut().and_then(|helper| helper.stdin.as_mut()) {
         // Without the helper the children still end with their handles.
         let _ = pipe.write_all(line.as_bytes());
     }
 }
 
+/// Ends the helper in order, once there are no more children.
+pub fn finish() {
+    let helper = HELPER.lock().unwrap_or_else(PoisonError::into_inner).take();
+    if let Some(mut helper) = helper {
+        drop(helper.stdin.take());
+        // Its end is all that matters.
+        let _ = helper.wait();
+    }
+}
+
 /// Starts the helper, which outlives this process until it has done its work.
-fn start() -> Option<ChildStdin> {
+fn start() -> Option<Child> {
     let program = binary_folder().ok()?.join("agatestair-testbed");
-    let mut helper = Command::new(program)
+    Command::new(program)
         .arg("reap")
         .stdin(Stdio::piped())
         .stdout(Stdio::null())
         .stderr(Stdio::null())
         .spawn()
-        .ok()?;
-    helper.stdin.take()
+        .ok()
 }
 
 /// Reads ids until the pipe closes, then kills the processes that are left.
--- a/crates/testbed/src/settings_files.rs
+++ b/crates/testbed/src/settings_files.rs
@@ -190,7 +190,7 @@
             answer_ms: timing.answer_ms,
             patience_ms: timing.patience_ms,
             stale_ms: timing.stale_ms,
-            disabled: options.disabled.clone(),
+            disabled: disabled(options, false),
             ..entry_defaults()
         }
     }
@@ -217,7 +217,7 @@
             margin_ms: timing.margin_ms,
             patience_ms: timing.patience_ms,
             plan_roles: options.plan_roles,
-            disabled: options.disabled.clone(),
+            disabled: disabled(options, true),
             ..control_defaults()
         }
     }
@@ -232,6 +232,15 @@
     }
 }
 
+/// Protections of the control process; all others are the entry's.
+const CONTROL_PROTECTIONS: [&str; 5] =
+    ["fencing", "former_holder_ack", "lease_margin", "order_record", "revision_guard"];
+
+fn disabled(options: &TestbedOptions, control: bool) -> Vec<String> {
+    let wanted = |name: &&String| CONTROL_PROTECTIONS.contains(&name.as_str()) == control;
+    options.disabled.iter().filter(wanted).cloned().collect()
+}
+
 /// Settings of an entry with their defaults.
 fn entry_defaults() -> EntrySettings {
     let text = r#"{
--- /dev/null
+++ b/crates/testbed/tests/checker.rs
@@ -0,0 +1,231 @@
+//! Each promise is found broken from records alone, and found kept where the records allow it.
+
+use agatestair_schema::caller::RunState;
+use agatestair_schema::standins::{
+    LeaveRecord, LeaveSource, ListsRecord, OrderRecord, RunKind, RunOutcome, RunRecord,
+};
+use agatestair_testbed::checker::{CallKind, CallerRecord, Promise, Records, Seen, check};
+use googletest::prelude::*;
+
+fn run(kind: RunKind, request: &str, key: &str, started_ms: u64) -> RunRecord {
+    RunRecord {
+        id: 1,
+        endpoint: "e-1".to_owned(),
+        service: "s".to_owned(),
+        boot: "e-1-1".to_owned(),
+        kind,
+        request: request.to_owned(),
+        attempt: String::new(),
+        key: key.to_owned(),
+        method: "POST".to_owned(),
+        path: "/lines".to_owned(),
+        body: format!("body-{key}"),
+        received_ms: started_ms,
+        started_ms,
+        ended_ms: started_ms,
+        outcome: RunOutcome::Done,
+        prompt_tokens: 0,
+        cached_tokens: 0,
+        first_token: 0,
+        tokens: 0,
+        pieces: 0,
+        altered: 0,
+    }
+}
+
+fn call(request: &str, key: &str, started_ms: u64) -> RunRecord {
+    run(RunKind::Call, request, key, started_ms)
+}
+
+fn caller(kind: CallKind, request: &str, key: &str, seen: Seen) -> CallerRecord {
+    CallerRecord {
+        kind,
+        entry: "entry-1".to_owned(),
+        request: request.to_owned(),
+        key: key.to_owned(),
+        body: format!("body-{key}"),
+        seen,
+        code: String::new(),
+        sent_ms: 900,
+        ended_ms: 1000,
+    }
+}
+
+fn order(holder: &str, fencing: u64, highest: u64, during: &str, result: &str) -> OrderRecord {
+    OrderRecord {
+        id: 1,
+        endpoint: "e-1".to_owned(),
+        boot: "e-1-1".to_owned(),
+        order: format!("{holder}-{fencing}"),
+        kind: "set_role".to_owned(),
+        argument: "decode".to_owned(),
+        holder: holder.to_owned(),
+        epoch: 1,
+        fencing,
+        sequence: 1,
+        highest,
+        during: if during.is_empty() { String::new() } else { "other".to_owned() },
+        during_holder: during.to_owned(),
+        repeat: false,
+        result: result.to_owned(),
+        received_ms: 1000,
+        effect_ms: 0,
+    }
+}
+
+fn leave(at_ms: u64, leaving: bool) -> LeaveRecord {
+    LeaveRecord { endpoint: "e-1".to_owned(), source: LeaveSource::Wish, leaving, at_ms }
+}
+
+fn lists(revision: u64) -> ListsRecord {
+    ListsRecord { revision, at_ms: revision, attempt: String::new() }
+}
+
+struct Case {
+    name: &'static str,
+    records: Records,
+    callers: Vec<CallerRecord>,
+    promise: Promise,
+    broken: u64,
+}
+
+fn calls(name: &'static str, runs: Vec<RunRecord>, caller: CallerRecord) -> Case {
+    let records = Records { runs, ..Default::default() };
+    Case { name, records, callers: vec![caller], promise: Promise::DoubleRun, broken: 0 }
+}
+
+fn orders(name: &'static str, order: OrderRecord) -> Case {
+    let records = Records { orders: vec![order], ..Default::default() };
+    Case { name, records, callers: Vec::new(), promise: Promise::StaleOrder, broken: 0 }
+}
+
+fn call_cases() -> Vec<Case> {
+    use CallKind::{Completion, Keyed, Unkeyed};
+    let not_run = Seen::Refused(RunState::NotRun);
+    vec![
+        Case {
+            broken: 1,
+            ..calls(
+                "a key that ran twice",
+                vec![call("r1", "k", 10), call("r2", "k", 20)],
+                caller(Keyed, "r2", "k", Seen::Whole),
+            )
+        },
+        calls(
+            "a key that was refused by the endpoint and then ran",
+            vec![call("r1", "k", 0), call("r2", "k", 20)],
+            caller(Keyed, "r2", "k", Seen::Whole),
+        ),
+        Case {
+            promise: Promise::LostWrite,
+            broken: 1,
+            ..calls("answered and never run", vec![], caller(Keyed, "r1", "k", Seen::Whole))
+        },
+        Case {
+            promise: Promise::FalseNotRun,
+            broken: 1,
+            ..calls(
+                "refused as not run though it had run",
+                vec![call("r1", "k", 10)],
+                caller(Keyed, "r2", "k", not_run),
+            )
+        },
+        Case {
+            promise: Promise::FalseNotRun,
+            ..calls(
+                "refused as not run, run by a later attempt",
+                vec![call("r2", "k", 2000)],
+                caller(Keyed, "r1", "k", not_run),
+            )
+        },
+        Case {
+            promise: Promise::FalseNotRun,
+            broken: 1,
+            ..calls(
+                "refused as not run, run later without a key",
+                vec![call("r1", "", 2000)],
+                caller(Unkeyed, "r1", "", not_run),
+            )
+        },
+        Case {
+            promise: Promise::FalseNotRun,
+            broken: 1,
+            ..calls(
+                "completion refused as not run though it ran",
+                vec![run(RunKind::Completion, "r1", "", 10)],
+                caller(Completion, "r1", "", not_run),
+            )
+        },
+        Case {
+            promise: Promise::Cut,
+            broken: 1,
+            ..calls("cut stream", vec![], caller(Completion, "r1", "", Seen::Cut))
+        },
+        Case {
+            promise: Promise::WrongAnswer,
+            broken: 1,
+            ..calls("wrong answer", vec![], caller(Completion, "r1", "", Seen::Wrong))
+        },
+    ]
+}
+
+fn fleet_cases() -> Vec<Case> {
+    let work = |at_ms, leaves| Records {
+        runs: vec![run(RunKind::Completion, "r1", "", at_ms)],
+        leaves,
+        ..Default::default()
+    };
+    let leaves = |name, records, broken| Case {
+        name,
+        records,
+        callers: Vec::new(),
+        promise: Promise::WorkAfterLeave,
+        broken,
+    };
+    let revisions = |name, numbers: &[u64], broken| Case {
+        name,
+        records: Records {
+            lists: numbers.iter().map(|n| lists(*n)).collect(),
+            ..Default::default()
+        },
+        callers: Vec::new(),
+        promise: Promise::ConfigRevert,
+        broken,
+    };
+    vec![
+        Case { broken: 1, ..orders("an old order took effect", order("a", 1, 2, "", "done")) },
+        orders("an old order was refused", order("a", 1, 2, "", "stale")),
+        orders("a new order took effect", order("a", 3, 2, "", "started")),
+        Case {
+            promise: Promise::ConflictingOrder,
+            broken: 1,
+            ..orders("during another holder's change", order("a", 2, 2, "b", "busy"))
+        },
+        Case {
+            promise: Promise::ConflictingOrder,
+            ..orders("during the holder's own change", order("a", 2, 2, "a", "busy"))
+        },
+        Case {
+            promise: Promise::ConflictingOrder,
+            ..orders("an old order during a change, refused", order("a", 1, 2, "b", "stale"))
+        },
+        leaves("work long after leaving", work(9000, vec![leave(1000, true)]), 1),
+        leaves("work soon after leaving", work(2000, vec![leave(1000, true)]), 0),
+        leaves(
+            "work after coming back",
+            work(9000, vec![leave(1000, true), leave(8000, false)]),
+            0,
+        ),
+        revisions("revisions rise", &[1, 2, 5], 0),
+        revisions("a revision comes again", &[1, 2, 2], 1),
+    ]
+}
+
+#[googletest::test]
+fn promises_follow_from_records() {
+    for case in call_cases().into_iter().chain(fleet_cases()) {
+        let counts = check(&case.records, &case.callers);
+        let count = counts.get(case.promise);
+        expect_that!(count.broken, eq(case.broken), "{}: {counts}", case.name);
+    }
+}
