Control processes keep to a budget of bytes: paced load figures, reads of the lists in turn

The platform's instance list is read within 4 kB/s. A stopping process waits for its leases to be handed over or to run out, no longer.

--- a/crates/control/examples/control_cost.rs
+++ b/crates/control/examples/control_cost.rs
@@ -149,6 +149,7 @@
     node: LinkNode,
     links: Arc<Mutex<Vec<LinkKey>>>,
     views: Vec<EndpointView>,
+    share_rounds: u64,
 }
 
 impl Peer {
@@ -173,9 +174,19 @@
             }
         })
         .expect("the port is free");
+        // As paced by the control process: 220 bytes an endpoint within 6 kB a second.
+        let share_ms = (f64::from(flags.endpoints) * 220.0 / 6.0).clamp(250.0, 2000.0);
+        let share_rounds = (share_ms / 250.0).round() as u64;
         let own = (0..flags.endpoints)
             .filter(|index| index % u32::from(flags.instances - 1) == u32::from(number - 2));
-        Self { name: instance_name(number), number, node, links, views: own.map(view).collect() }
+        Self {
+            name: instance_name(number),
+            number,
+            node,
+            links,
+            views: own.map(view).collect(),
+            share_rounds,
+        }
     }
 
     fn send(&self, round: u64) {
@@ -183,8 +194,9 @@
         for link in links {
             let endpoints =
                 self.views.iter().map(|view| EndpointView { report: round, ..view.clone() });
-            for view in endpoints {
-                let batch = LoadBatch { collector: self.name.clone(), endpoints: vec![view] };
+            if round.is_multiple_of(self.share_rounds) {
+                let batch =
+                    LoadBatch { collector: self.name.clone(), endpoints: endpoints.collect() };
                 self.node.send(link, LinkMessage::Load(batch));
             }
             if round.is_multiple_of(2) {
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -8,7 +8,7 @@
 mod push;
 mod report;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -87,6 +87,7 @@
     push: Periodic,
     refresh: Periodic,
     register: Periodic,
+    share: Periodic,
     wishes: Periodic,
 }
 
@@ -117,6 +118,7 @@
     shares: ShareAllocator,
     demand: Option<DemandReport>,
     stopping: Option<Moment>,
+    to_share: BTreeSet<Arc<str>>,
     store_ok: Option<Moment>,
     store_down: bool,
     registered: Option<Presence>,
@@ -184,6 +186,7 @@
             shares: ShareAllocator::new(ShareSettings::default()),
             demand: None,
             stopping: None,
+            to_share: BTreeSet::new(),
             store_ok: None,
             store_down: false,
             registered: None,
@@ -247,7 +250,7 @@
         let entry_leaves = self.entry.link.is_some() && !self.entry.is_live();
         let wait = if entry_leaves { patience } else { 2 * HEARTBEAT_INTERVAL };
         let elapsed = now.since(since);
-        elapsed >= patience || (elapsed >= wait && !self.leases.holds_any())
+        elapsed >= patience || (elapsed >= wait && !self.leases.holds_any(now))
     }
 
     /// State that this instance says of itself.
@@ -296,6 +299,7 @@
         push: Periodic::new(poll),
         refresh: Periodic::new(REFRESH_INTERVAL),
         register: Periodic::new(INSTANCES_INTERVAL),
+        share: Periodic::new(poll),
         wishes: Periodic::new(lists),
     }
 }
--- a/crates/control/src/control/collect.rs
+++ b/crates/control/src/control/collect.rs
@@ -1,6 +1,7 @@
 //! Polling of the endpoints that this instance collects.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use agatestair_policy::Moment;
 use agatestair_policy::assign::owner;
@@ -16,6 +17,12 @@
 
 /// Failed polls in a row after which an endpoint is logged as silent.
 const SILENT_FAILURES: u32 = 3;
+/// Size of the figures of one endpoint on a link, in bytes.
+const VIEW_BYTES: f64 = 220.0;
+/// Load figures that an instance may receive a second, in bytes.
+const SHARE_BYTES_S: f64 = 6000.0;
+/// Longest time that figures wait to be passed on.
+const MAX_SHARE_INTERVAL: Duration = Duration::from_secs(2);
 
 impl Control {
     /// Polls the endpoints that this instance owns by rendezvous hashing.
@@ -65,7 +72,7 @@
                     log_event!(self.log, ENDPOINT_BACK, "endpoint" => &*endpoint);
                 }
                 self.fleet.note_report(now, &endpoint, report);
-                self.share_view(now, &endpoint);
+                self.to_share.insert(endpoint.clone());
             }
             Err(error) => {
                 known.failures = known.failures.saturating_add(1);
@@ -80,13 +87,25 @@
         }
     }
 
-    /// Passes the figures of one endpoint on to the peers.
-    fn share_view(&mut self, now: Moment, endpoint: &str) {
-        let Some(known) = self.fleet.get(endpoint) else {
+    /// Passes the figures collected since the last time on to the peers.
+    ///
+    /// The interval grows with the number of endpoints, so that what an instance receives stays
+    /// within its part of the budget of bytes.
+    pub(super) fn share_views(&mut self, now: Moment) {
+        if !self.timers.share.start(now) {
             return;
-        };
-        let view: EndpointView = self.fleet.view(now, known);
-        let batch = LoadBatch { collector: self.own.to_string(), endpoints: vec![view] };
+        }
+        let poll = Duration::from_millis(self.settings.poll_ms);
+        let bytes = self.fleet.iter().count() as f64 * VIEW_BYTES;
+        let paced = Duration::from_secs_f64(bytes / SHARE_BYTES_S);
+        self.timers.share.set_interval(paced.clamp(poll, MAX_SHARE_INTERVAL.max(poll)));
+        let names = std::mem::take(&mut self.to_share);
+        let known = names.iter().filter_map(|name| self.fleet.get(name));
+        let endpoints: Vec<EndpointView> = known.map(|known| self.fleet.view(now, known)).collect();
+        if endpoints.is_empty() {
+            return;
+        }
+        let batch = LoadBatch { collector: self.own.to_string(), endpoints };
         self.peers.broadcast(&LinkMessage::Load(batch));
     }
 
--- a/crates/control/src/control/platform.rs
+++ b/crates/control/src/control/platform.rs
@@ -12,13 +12,20 @@
 use agatestair_schema::lists::{EndpointWish, Lists};
 use agatestair_schema::platform::{InstanceKind, InstanceRecord, InstanceState};
 
-use super::Control;
+use super::{Control, INSTANCES_INTERVAL};
+use crate::clock::unix_ms;
 use crate::event::Event;
 use crate::events::{LISTS_IN_FORCE, STORE_BACK, STORE_FAILED};
 use crate::lists::Offer;
 use crate::peers::dial_targets;
 use crate::store::{read_lists, read_wishes};
 
+/// Size of one record of the instance list in bytes.
+const RECORD_BYTES: f64 = 180.0;
+/// Bytes of the instance list that a process may read a second.
+const LIST_BYTES_S: f64 = 4000.0;
+/// Longest interval of reading the instance list.
+const MAX_INSTANCES_INTERVAL: Duration = Duration::from_secs(60);
 /// Time after which an instance that is not listed registers again.
 const REGISTER_AGAIN: Duration = Duration::from_secs(5);
 
@@ -29,7 +36,7 @@
             let directory = self.platform.instances();
             self.lanes.instances.run(move || Event::Instances(directory.list()));
         }
-        if self.timers.lists.begin(now) {
+        if self.is_reader(now) && self.timers.lists.begin(now) {
             let platform = self.platform.clone();
             self.lanes.lists.run(move || Event::Lists(read_lists(&platform)));
         }
@@ -43,6 +50,21 @@
         }
     }
 
+    /// Whether it is this instance's turn to read the lists.
+    ///
+    /// Linked instances take turns, two in each interval, and pass newer lists on to the others, so
+    /// that the reads don't grow with the number of instances.
+    fn is_reader(&self, now: Moment) -> bool {
+        if !self.lists.has_read() || !self.members.has_contact(now) {
+            return true;
+        }
+        let live = self.members.live(now);
+        let rank = live.iter().position(|name| *name == self.own).unwrap_or(0);
+        let slot = usize::try_from(unix_ms() / self.settings.lists_ms.max(1)).unwrap_or(0);
+        let (first, second) = (slot % live.len(), (slot + live.len() / 2) % live.len());
+        rank == first || rank == second
+    }
+
     /// Tells the platform the state of this instance.
     fn register(&mut self) {
         let record = self.own_record();
@@ -99,6 +121,10 @@
                 self.note_answer(now);
                 self.members.note_list(now, &records);
                 self.register_again(now);
+                let bytes = records.len() as f64 * RECORD_BYTES;
+                let paced = Duration::from_secs_f64(bytes / LIST_BYTES_S);
+                let interval = paced.clamp(INSTANCES_INTERVAL, MAX_INSTANCES_INTERVAL);
+                self.timers.instances.set_interval(interval);
                 self.fleet.note_list(now, &records);
                 self.shares.set_entries(&self.members.listed());
                 self.dial_peers();
--- a/crates/control/src/control/push.rs
+++ b/crates/control/src/control/push.rs
@@ -23,6 +23,7 @@
         if self.timers.beat.start(now) {
             self.peers.broadcast(&LinkMessage::Heartbeat(self.own_beat()));
         }
+        self.share_views(now);
         if self.timers.push.start(now) {
             self.push_fleet(now);
         }
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -147,9 +147,10 @@
         shard.held.as_mut().filter(|held| held.loaded && now < held.deadline)
     }
 
-    /// Whether any lease is held, whether or not it may be used now.
-    pub fn holds_any(&self) -> bool {
-        self.shards.iter().any(|shard| shard.held.is_some())
+    /// Whether any lease is held that has not run out.
+    pub fn holds_any(&self, now: Moment) -> bool {
+        let held = self.shards.iter().filter_map(|shard| shard.held.as_ref());
+        held.into_iter().any(|held| now < held.deadline)
     }
 
     /// Forgets a lease whose loss was learnt from an engine.
--- a/crates/control/src/lists.rs
+++ b/crates/control/src/lists.rs
@@ -82,6 +82,11 @@
         self.store = Some(now);
     }
 
+    /// Whether the store was read since the start.
+    pub fn has_read(&self) -> bool {
+        self.store.is_some()
+    }
+
     /// Notes a heartbeat of a peer.
     pub fn note_peer(&mut self, now: Moment) {
         self.peer = Some(now);
--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -38,6 +38,11 @@
         self.running = false;
     }
 
+    /// Sets the interval from the next start on.
+    pub fn set_interval(&mut self, interval: Duration) {
+        self.interval = interval;
+    }
+
     /// Makes the work due at once.
     pub fn hasten(&mut self) {
         self.due = Moment(0);
--- a/scripts/control-cost.sh
+++ b/scripts/control-cost.sh
@@ -32,8 +32,8 @@
     control=$!
     "$target/examples/control_cost" --pid "$control" --port "$1" --instances "$2" \
         --endpoints "$3" --customers "$4" --seconds "$seconds"
-    kill "$control"
-    wait "$control" || true
+    kill -KILL "$control"
+    wait "$control" 2>/dev/null || true
     control=
 }
 
