Engines' speed and slots learned; queues of several models on the same engines go by rank

Cause: the expected times were those of one kind of engine; and with two models on all engines the queue of one model always went first, also before a higher plan's requests for the other, and the engines were counted once for each model. Change: step and prompt times follow the observed pace, the slots follow reports of full engines; the next request is taken over all pools by share and priority, with turns between equals; an engine counts in equal parts for its models. Shares and budgets stay counted at the nominal speed.

--- a/crates/policy/src/fleet/endpoint.rs
+++ b/crates/policy/src/fleet/endpoint.rs
@@ -10,6 +10,9 @@
 use crate::moment::Moment;
 use crate::settings::EngineModel;
 
+/// Fewer active attempts than this say nothing of an engine's limit.
+const MIN_SLOTS: u32 = 4;
+
 /// One endpoint: its last report, this entry's own work there, and its pace.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
@@ -79,6 +82,7 @@
         let made = now - Duration::from_millis(self.view.age_ms);
         let own = self.sent.at(made);
         let reported = self.view.active + self.view.queued;
+        self.learn_slots();
         self.others = reported.saturating_sub(own.count);
         self.reported_own = own.count;
         let prefill = self.view.prefill_backlog.saturating_sub(own.prefill);
@@ -86,6 +90,14 @@
         self.limit = self.own_limit(reported, part);
     }
 
+    /// Takes the number of active attempts as the engine's limit while others wait there.
+    fn learn_slots(&mut self) {
+        let full = self.view.queued > 0 && self.view.active >= MIN_SLOTS;
+        if self.view.kind == EndpointKind::Engine && (full || self.view.active > self.slots) {
+            self.slots = self.view.active;
+        }
+    }
+
     /// Own attempts allowed: the entry's part of the slots, or its part of the free ones more
     /// than it had when the report was made.
     fn own_limit(&self, reported: u32, part: f64) -> u32 {
--- a/crates/policy/src/fleet/pool.rs
+++ b/crates/policy/src/fleet/pool.rs
@@ -40,6 +40,10 @@
     pub(crate) mixed_count: u32,
     /// Prefill engines that serve, with room or not.
     pub(crate) prefill_count: u32,
+    /// Engines that serve; one that serves several pools counts in equal parts.
+    pub(crate) capacity: f64,
+    /// Number of the last turn that a request of it had.
+    pub(crate) last_turn: usize,
     /// Requests that wait for any endpoint.
     pub(crate) queue: PoolQueue,
     /// Requests that wait for a prefill engine.
@@ -68,6 +72,8 @@
             whole_count: 0,
             mixed_count: 0,
             prefill_count: 0,
+            capacity: 0.0,
+            last_turn: 0,
             queue: PoolQueue::default(),
             split: PoolQueue::default(),
             handoff: VecDeque::new(),
@@ -93,9 +99,4 @@
         let split = self.split.count() > 0 && self.prefill.is_empty();
         whole || split
     }
-
-    /// Endpoints that serve, with room or not.
-    pub(crate) fn serving(&self) -> u32 {
-        self.whole_count + self.prefill_count
-    }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 mod settings;
 mod shares;
 mod size;
+mod speed;
 mod straggler;
 
 pub use action::{Action, AttemptEnd, Purpose, Refusal, RefusalCode};
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -34,6 +34,7 @@
 use crate::scheduler::fleet_update::PoolNames;
 use crate::scheduler::state::{Attempt, Request};
 use crate::settings::SchedulerSettings;
+use crate::speed::SpeedLearner;
 
 /// Interval at which pace, stragglers and room are looked at.
 const TICK: Duration = Duration::from_millis(20);
@@ -58,6 +59,7 @@
 pub struct Scheduler {
     settings: SchedulerSettings,
     random: ChaCha8Rng,
+    speed: SpeedLearner,
     listed: bool,
     plans: PlanTable,
     endpoints: SlotMap<EndpointKey, Endpoint>,
@@ -91,9 +93,11 @@
     /// Creates a scheduler that knows no lists and no endpoints.
     pub fn new(settings: SchedulerSettings) -> Self {
         let random = ChaCha8Rng::seed_from_u64(settings.seed);
+        let speed = SpeedLearner::new(settings.engine.clone());
         Self {
             settings,
             random,
+            speed,
             listed: false,
             plans: PlanTable::default(),
             endpoints: SlotMap::with_key(),
--- a/crates/policy/src/scheduler/admit.rs
+++ b/crates/policy/src/scheduler/admit.rs
@@ -92,11 +92,11 @@
         let model = &self.settings.engine;
         let uncached = self.least_uncached(&work.blocks, work.prompt_tokens);
         let prefill = f64::from(uncached) * model.prefill_us / 1e6;
-        let decode = f64::from(work.max_tokens) * model.token_us() / 1e6;
+        let times = self.speed.nominal(uncached, work.max_tokens);
         let first = prefill + model.step_us / 1e6;
         let whole = first + f64::from(work.max_tokens) * self.pools[pool].gap;
         let route = self.route(pool, uncached);
-        Expected { pool, route, work: prefill + decode, first, whole }
+        Expected { pool, route, work: times.prefill + times.decode, first, whole }
     }
 
     /// Refuses when the plan's or the customer's part of the queue is full.
@@ -181,7 +181,7 @@
 
     /// Engine time a second that a pool is expected to take from this entry.
     pub(crate) fn expected_rate(&self, pool: PoolKey) -> f64 {
-        f64::from(self.pools[pool].serving()) * self.plans.part()
+        self.pools[pool].capacity * self.plans.part()
     }
 
     fn enqueue_new(
--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -1,5 +1,7 @@
 //! Which request goes next, and the start of attempts.
 
+use std::cmp::Reverse;
+
 use agatestair_schema::link::EndpointKind;
 use agatestair_schema::settings::PolicyName;
 
@@ -26,15 +28,37 @@
     within: bool,
 }
 
+/// Rank of a plan's requests over those of other plans.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct TurnRank {
+    /// Whether the plan is within its share.
+    within: bool,
+    priority: u32,
+}
+
+/// A queue whose turn it is.
+#[derive(Clone, Copy, Debug)]
+struct QueueTurn {
+    pool: PoolKey,
+    route: Route,
+    part: Part,
+    rank: TurnRank,
+}
+
 impl Scheduler {
     /// Starts what can be started in all pools.
     pub(crate) fn dispatch_all(&mut self, now: Moment) {
         self.refill_accounts(now);
         let pools: Vec<PoolKey> = self.pools.keys().collect();
+        for pool in &pools {
+            self.dispatch_handoffs(now, *pool);
+        }
+        while let Some(lane) = self.next_queue(&pools) {
+            if !self.dispatch_next(now, lane) {
+                break;
+            }
+        }
         for pool in pools {
-            self.dispatch_handoffs(now, pool);
-            self.dispatch_route(now, pool, Route::Whole);
-            self.dispatch_route(now, pool, Route::Split);
             let pool = &mut self.pools[pool];
             let full = pool.is_full();
             pool.drain.advance(now, full);
@@ -59,7 +83,7 @@
         let (mut expected, mut real) = (0.0, 0.0);
         for (key, pool) in &self.pools {
             if pool.kind == EndpointKind::Engine {
-                expected += f64::from(pool.serving()) * self.plans.own_part();
+                expected += pool.capacity * self.plans.own_part();
                 real += pool.drain.rate(self.expected_rate(key));
             }
         }
@@ -88,27 +112,57 @@
         }
     }
 
-    fn dispatch_route(&mut self, now: Moment, pool: PoolKey, route: Route) {
-        while self.pools[pool].queue(route).count() > 0 {
-            let Some(part) = self.open_part(pool, route) else { return };
-            let Some(turn) = self.next_turn(now, pool, route) else { return };
-            let key = turn.ticket.request;
-            let Some(choice) = self.choose(now, key, part) else {
-                let stuck = self.reroute(key, pool, route);
-                self.enqueue(key);
-                if stuck {
-                    return;
-                }
-                continue;
-            };
-            self.draw(key, choice, turn.within);
-            let purpose = match part {
-                Part::Prompt => Purpose::Prefill,
-                _ if self.requests[key].attempts > 0 => Purpose::Retry,
-                _ => Purpose::First,
-            };
-            self.start(now, key, choice, purpose);
+    /// The queue whose next request goes first of all pools' queues for which an endpoint has room:
+    /// by share and priority as within a queue, pools of equal rank taking turns.
+    fn next_queue(&self, pools: &[PoolKey]) -> Option<QueueTurn> {
+        let split = self.kind_split();
+        let routes = [Route::Whole, Route::Split];
+        let queues = pools.iter().flat_map(|pool| routes.map(|route| (*pool, route)));
+        let turns = queues.filter_map(|(pool, route)| {
+            let part = self.open_part(pool, route)?;
+            let rank = self.head_rank(pool, route, split)?;
+            Some(QueueTurn { pool, route, part, rank })
+        });
+        turns.max_by_key(|turn| (turn.rank, Reverse(self.pools[turn.pool].last_turn)))
+    }
+
+    /// Rank of the plan whose request a queue would give next.
+    fn head_rank(&self, pool: PoolKey, route: Route, split: KindSplit) -> Option<TurnRank> {
+        let pool = &self.pools[pool];
+        let queue = if route == Route::Whole { &pool.queue } else { &pool.split };
+        if queue.count() == 0 {
+            return None;
         }
+        let waiting = |index: &&usize| queue.peek(**index).is_some_and(|plan| plan.count() > 0);
+        let rank = |index: &usize| {
+            let plan = self.plans.plan(*index);
+            let within = pool.kind == EndpointKind::Service || plan.account.within(split);
+            let may = within || plan.borrow;
+            may.then_some(TurnRank { within, priority: plan.priority })
+        };
+        self.plans.order().iter().filter(waiting).filter_map(rank).max()
+    }
+
+    /// Starts the next request of a queue; returns whether others may still go.
+    fn dispatch_next(&mut self, now: Moment, queue: QueueTurn) -> bool {
+        let QueueTurn { pool, route, part, .. } = queue;
+        let Some(turn) = self.next_turn(now, pool, route) else { return false };
+        self.turn += 1;
+        self.pools[pool].last_turn = self.turn;
+        let key = turn.ticket.request;
+        let Some(choice) = self.choose(now, key, part) else {
+            let stuck = self.reroute(key, pool, route);
+            self.enqueue(key);
+            return !stuck;
+        };
+        self.draw(key, choice, turn.within);
+        let purpose = match part {
+            Part::Prompt => Purpose::Prefill,
+            _ if self.requests[key].attempts > 0 => Purpose::Retry,
+            _ => Purpose::First,
+        };
+        self.start(now, key, choice, purpose);
+        true
     }
 
     /// Sends a request that no endpoint with room can serve whole by way of the prefill engines;
@@ -172,14 +226,12 @@
         let pool = &mut self.pools[request.pool];
         pool.drain.note(request.ticket.work);
         let Work::Completion(work) = &request.facts.work else { return };
-        let model = &self.settings.engine;
-        let prefill = f64::from(choice.uncached) * model.prefill_us / 1e6;
-        let decode = f64::from(work.max_tokens) * model.token_us() / 1e6;
+        let times = self.speed.nominal(choice.uncached, work.max_tokens);
         let plan = self.plans.plan_mut(request.plan);
         if within {
-            plan.account.draw(prefill, decode);
+            plan.account.draw(times.prefill, times.decode);
         } else {
-            plan.account.borrow(prefill, decode);
+            plan.account.borrow(times.prefill, times.decode);
         }
         plan.demand.draw(choice.uncached, work.max_tokens);
     }
@@ -195,6 +247,7 @@
             offset: request.tokens,
             tokens: 0,
             prefill: choice.uncached,
+            prompt: choice.uncached,
             first: None,
             expected: choice.expected,
             cancelled: false,
--- a/crates/policy/src/scheduler/fleet_update.rs
+++ b/crates/policy/src/scheduler/fleet_update.rs
@@ -39,6 +39,10 @@
                 self.join_pools(key);
             }
         }
+        let engines = self.endpoints.values().filter(|e| e.view.kind == EndpointKind::Engine);
+        if let Some(slots) = engines.map(Endpoint::slots).max() {
+            self.settings.engine.slots = slots;
+        }
         self.drop_unseen();
         let engines = self.endpoints.values().filter(|e| e.view.kind == EndpointKind::Engine);
         self.engines = u32::try_from(engines.count()).unwrap_or(u32::MAX);
@@ -123,6 +127,7 @@
         for pool in self.pools.values_mut() {
             let serving = pool.members.iter().map(|key| &self.endpoints[*key]);
             let serving: Vec<&Endpoint> = serving.filter(|e| e.serving()).collect();
+            pool.capacity = serving.iter().map(|e| 1.0 / e.pools.len().max(1) as f64).sum();
             let prefill = serving.iter().filter(|e| e.prefill_only()).count();
             let mixed = serving.iter().filter(|e| !e.prefill_only() && !e.decode_only()).count();
             pool.mixed_count = u32::try_from(mixed).unwrap_or(u32::MAX);
--- a/crates/policy/src/scheduler/observe.rs
+++ b/crates/policy/src/scheduler/observe.rs
@@ -34,6 +34,7 @@
             members.filter_map(|e| e.health.pace(e.pending(now, &self.settings.engine))).collect();
         if let Some(pace) = median(&mut paces) {
             pool.pace = pace;
+            self.speed.note_pace(&mut self.settings.engine, pace);
         }
         let members = pool.members.iter().filter_map(|key| self.endpoints.get(*key));
         let mut delays: Vec<f64> = members.filter_map(|e| e.health.delay()).collect();
--- a/crates/policy/src/scheduler/outcome.rs
+++ b/crates/policy/src/scheduler/outcome.rs
@@ -77,6 +77,11 @@
         if let Some(state) = self.endpoints.get_mut(endpoint) {
             state.health.note_delay(secs / attempt.expected.max(1e-4));
         }
+        let model = &mut self.settings.engine;
+        let prompt = f64::from(attempt.prompt) * model.prefill_us;
+        if prompt > model.step_us / 2.0 && attempt.purpose != Purpose::Prefill {
+            self.speed.note_first(model, secs / attempt.expected);
+        }
         if let Some(request) = self.requests.get(attempt.request) {
             for block in request.blocks() {
                 self.cache.store(*block, endpoint);
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -91,6 +91,8 @@
     pub(crate) tokens: u32,
     /// Prompt tokens that it counts in the endpoint's backlog.
     pub(crate) prefill: u32,
+    /// Prompt tokens that it has to process.
+    pub(crate) prompt: u32,
     pub(crate) first: Option<Moment>,
     /// Nominal time to the first token or the call's answer, in seconds.
     pub(crate) expected: f64,
