Entry: an answer of a service that cannot be checked is not passed as whole

Answers with neither a length nor chunks end with the connection, so that a cut one looks whole; they are now failures that may have run. Tests with raw endpoints: short of their length, without the last chunk, without a length, cut in the head, no HTTP, nothing.

--- a/crates/entry/src/endpoint/service.rs
+++ b/crates/entry/src/endpoint/service.rs
@@ -6,6 +6,8 @@
 use agatestair_policy::AttemptKey;
 use bytes::Bytes;
 use stakker::sync::Channel;
+use ureq::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use ureq::http::response::Parts;
 use ureq::http::{HeaderMap, Request, Response};
 use ureq::{Agent, Body, Error};
 
@@ -77,6 +79,14 @@
     fn call(&self, agent: &Agent) -> Result<CallAnswer, AttemptFault> {
         let response = self.send(agent).map_err(|error| fault_of(&error))?;
         let (head, mut body) = response.into_parts();
+        if !has_end(&self.request.method, &head) {
+            return Err(AttemptFault {
+                may_have_run: true,
+                too_large: false,
+                cache_lost: false,
+                cause: "the answer has neither a length nor chunks".to_owned(),
+            });
+        }
         let body = body.with_config().limit(MAX_ANSWER_BYTES).read_to_vec();
         let body = body.map_err(|error| AttemptFault {
             may_have_run: true,
@@ -107,6 +117,15 @@
     }
 }
 
+/// Whether it can be told that the whole body of an answer has arrived.
+fn has_end(method: &str, head: &Parts) -> bool {
+    let status = head.status.as_u16();
+    let empty = method == "HEAD" || matches!(status, 204 | 304);
+    empty
+        || head.headers.contains_key(CONTENT_LENGTH)
+        || head.headers.contains_key(TRANSFER_ENCODING)
+}
+
 fn kept_headers(headers: &HeaderMap) -> Vec<(String, String)> {
     headers
         .iter()
--- a/crates/entry/tests/support/control.rs
+++ b/crates/entry/tests/support/control.rs
@@ -140,6 +140,17 @@
         });
     }
 
+    /// Tells that endpoints whose names start so are at this address.
+    pub fn set_address(&self, prefix: &str, address: SocketAddr) {
+        self.change(|state| {
+            let views = state.fleet.endpoints.iter_mut();
+            for view in views.filter(|view| view.name.starts_with(prefix)) {
+                view.address = address.to_string();
+            }
+            state.fleet.version += 1;
+        });
+    }
+
     /// Tells that an engine has this role.
     pub fn set_role(&self, name: &str, role: EndpointRole) {
         self.change(|state| {
--- /dev/null
+++ b/crates/entry/tests/truncated.rs
@@ -0,0 +1,121 @@
+//! Answers of endpoints that are cut off or cannot be checked are never passed as whole.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+
+use agatestair_schema::caller::RunState;
+use googletest::prelude::*;
+
+use self::support::caller::{prompt_body, send};
+use self::support::{Rig, RigSettings, eventually, free_address};
+
+/// An endpoint that gives one answer to all and then closes the connection.
+struct RawEndpoint {
+    address: SocketAddr,
+    requests: Arc<AtomicU32>,
+}
+
+impl RawEndpoint {
+    fn start(answer: &'static [u8]) -> Self {
+        let address = free_address();
+        let listener = TcpListener::bind(address).expect("the address is free");
+        let requests: Arc<AtomicU32> = Arc::default();
+        let count = requests.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let mut stream = stream.expect("a connection comes");
+                let mut buffer = [0; 16 * 1024];
+                let size = stream.read(&mut buffer).unwrap_or(0);
+                let asks = buffer[..size].starts_with(b"GET /agatestair/keys/");
+                if !asks {
+                    count.fetch_add(u32::from(size > 0), Ordering::Relaxed);
+                }
+                // The entry may have gone.
+                let _ = stream.write_all(if asks { UNSEEN } else { answer });
+            }
+        });
+        Self { address, requests }
+    }
+
+    fn requests(&self) -> u32 {
+        self.requests.load(Ordering::Relaxed)
+    }
+}
+
+const UNSEEN: &[u8] = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+
+struct Case {
+    name: &'static str,
+    answer: &'static [u8],
+    whole: bool,
+}
+
+const CASES: [Case; 7] = [
+    Case {
+        name: "whole",
+        answer: b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone",
+        whole: true,
+    },
+    Case {
+        name: "shorter than its length",
+        answer: b"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\ndone",
+        whole: false,
+    },
+    Case {
+        name: "without the last chunk",
+        answer: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n",
+        whole: false,
+    },
+    Case {
+        name: "without a length",
+        answer: b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\ndone",
+        whole: false,
+    },
+    Case { name: "cut in the head", answer: b"HTTP/1.1 200 OK\r\nContent-", whole: false },
+    Case { name: "no HTTP", answer: b"nonsense\r\n\r\n", whole: false },
+    Case { name: "nothing", answer: b"", whole: false },
+];
+
+#[gtest]
+fn cut_answers_of_services_are_not_passed_on() -> Result<()> {
+    for case in &CASES {
+        let rig = Rig::start(RigSettings { services: 1, ..RigSettings::default() });
+        let endpoint = RawEndpoint::start(case.answer);
+        rig.control.set_address("ledger", endpoint.address);
+        eventually("the endpoint is asked", || {
+            send(rig.entry.address, "GET", "/v1/services/ledger/a", &[], "");
+            endpoint.requests() > 0
+        });
+        let before = endpoint.requests();
+        let answer = send(rig.entry.address, "POST", "/v1/services/ledger/a", &[], "b");
+        expect_that!(answer.status == 200, eq(case.whole), "{}: {}", case.name, answer.body);
+        expect_that!(endpoint.requests() - before, eq(1), "{}", case.name);
+        if !case.whole {
+            let unknown = ("outcome_unknown".to_owned(), RunState::Unknown);
+            expect_that!(answer.refusal(), eq(&unknown), "{}", case.name);
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+fn answers_of_engines_that_are_no_streams_are_not_passed_on() -> Result<()> {
+    for case in &CASES {
+        let rig = Rig::start(RigSettings { engines: 1, ..RigSettings::default() });
+        let endpoint = RawEndpoint::start(case.answer);
+        rig.control.set_address("engine", endpoint.address);
+        let body = prompt_body("abc", 3, false);
+        eventually("the endpoint is asked", || {
+            send(rig.entry.address, "POST", "/v1/completions", &[], &body);
+            endpoint.requests() > 0
+        });
+        let answer = send(rig.entry.address, "POST", "/v1/completions", &[], &body);
+        expect_that!(answer.status, ge(500), "{}: {}", case.name, answer.body);
+    }
+    Ok(())
+}
