Entry: bounded send buffers; a caller that does not read is cut and its engine cancelled

The kernel would keep megabytes for a slow caller before the bound of 4,096 parts is felt; the send buffer is now 128 KiB a connection.

--- a/crates/entry/src/http/server.rs
+++ b/crates/entry/src/http/server.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use std::{io, thread};
 
-use agatestair_runtime::{configure_stream, log_event};
+use agatestair_runtime::{bound_unsent, configure_stream, log_event};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -30,6 +30,8 @@
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Greatest number of headers.
 const MAX_HEADERS: usize = 64;
+/// Bytes that the kernel keeps for a caller that reads slowly.
+const MAX_UNSENT_BYTES: usize = 128 * 1024;
 /// Connections allowed beside those with a request in work.
 const SPARE_CONNECTIONS: usize = 1000;
 /// Pause after a connection could not be accepted.
@@ -92,7 +94,7 @@
 
 async fn serve_connection(stream: TcpStream, front: Arc<Front>, closing: CancellationToken) {
     // The kernel's defaults stay in force if this fails; silent callers are then found later.
-    let _ = configure_stream(&stream);
+    let _ = configure_stream(&stream).and_then(|()| bound_unsent(&stream, MAX_UNSENT_BYTES));
     let handler = front.clone();
     let service = service_fn(move |request| {
         let front = handler.clone();
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 
 use agatestair_schema::answer_text;
@@ -10,6 +10,7 @@
 use agatestair_schema::standins::{RunKind, RunOutcome};
 use googletest::prelude::*;
 use serde_json::{Value, json};
+use socket2::SockRef;
 
 use self::support::caller::{EventStream, StreamEnd, prompt_body, send};
 use self::support::{API_KEY, MODEL, Rig, RigSettings, eventually};
@@ -121,6 +122,34 @@
     Ok(())
 }
 
+#[gtest]
+fn caller_that_does_not_read_is_cut_and_its_engine_cancelled() -> Result<()> {
+    let rig =
+        Rig::start(RigSettings { step_ms: 0.1, deadline_ms: 600_000, ..RigSettings::default() });
+    let body = prompt_body("unread", 40_000, true);
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer {API_KEY}\r\n\
+         Content-Length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut caller = TcpStream::connect(rig.entry.address).or_fail()?;
+    SockRef::from(&caller).set_recv_buffer_size(4096).or_fail()?;
+    caller.write_all(head.as_bytes()).or_fail()?;
+    caller.write_all(body.as_bytes()).or_fail()?;
+    eventually("the engine is cancelled", || {
+        let runs = rig.runs();
+        runs.iter().any(|run| matches!(run.outcome, RunOutcome::Cancelled | RunOutcome::Gone))
+    });
+    SockRef::from(&caller).set_recv_buffer_size(1 << 20).or_fail()?;
+    let mut answer = Vec::new();
+    // The connection may be closed at once.
+    let _ = caller.read_to_end(&mut answer);
+    let answer = String::from_utf8_lossy(&answer);
+    expect_that!(answer, starts_with("HTTP/1.1 200"));
+    expect_that!(answer, not(contains_substring("[DONE]")));
+    Ok(())
+}
+
 #[gtest]
 fn long_prompt_is_processed_apart_and_its_cache_handed_on() -> Result<()> {
     let rig = Rig::start(RigSettings::default());
--- a/crates/entry/tests/support/control.rs
+++ b/crates/entry/tests/support/control.rs
@@ -54,7 +54,7 @@
         });
         let fleet = FleetView { version: 1, endpoints: engines.chain(services).collect() };
         Self::with_state(State {
-            lists: lists(1, settings.store_down),
+            lists: lists(1, settings.store_down, settings.deadline_ms),
             fleet,
             directory: Vec::new(),
             fresh: true,
@@ -127,7 +127,7 @@
 
     /// Tells of new lists with this revision.
     pub fn set_lists(&self, revision: u64, store_down: &str) {
-        self.change(|state| state.lists = lists(revision, store_down));
+        self.change(|state| state.lists = lists(revision, store_down, 25_000));
     }
 
     /// Tells that an endpoint is in this state.
@@ -231,13 +231,13 @@
     }
 }
 
-fn lists(revision: u64, store_down: &str) -> Value {
+fn lists(revision: u64, store_down: &str, deadline_ms: u64) -> Value {
     let hash: String = Sha256::digest(API_KEY).iter().map(|byte| format!("{byte:02x}")).collect();
     let other: String = Sha256::digest("other").iter().map(|byte| format!("{byte:02x}")).collect();
     let plan = |name: &str, priority: u32| {
         json!({
             "name": name, "priority": priority, "first_ms": 5000, "token_ms": 500,
-            "deadline_ms": 25_000,
+            "deadline_ms": deadline_ms,
         })
     };
     json!({
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -46,6 +46,8 @@
     pub disabled: &'static [&'static str],
     /// Lifetime of an answer of `GET /v1/entries`.
     pub answer_ms: u64,
+    /// Longest time of a completion in milliseconds.
+    pub deadline_ms: u64,
     /// Time without contact after which work is refused.
     pub stale_ms: u64,
 }
@@ -60,6 +62,7 @@
             store_down: "refuse",
             disabled: &[],
             answer_ms: 500,
+            deadline_ms: 25_000,
             stale_ms: 3000,
         }
     }
--- a/crates/runtime/src/http.rs
+++ b/crates/runtime/src/http.rs
@@ -61,6 +61,15 @@
     socket.set_tcp_nodelay(true)
 }
 
+/// Bounds what the kernel keeps of data that the other end of a connection has not read, in bytes.
+///
+/// # Errors
+///
+/// The operating system's error.
+pub fn bound_unsent<S: AsFd>(stream: &S, bytes: usize) -> io::Result<()> {
+    SockRef::from(stream).set_send_buffer_size(bytes)
+}
+
 /// Reads the body of a request, up to `limit` bytes.
 ///
 /// # Errors
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -13,7 +13,9 @@
 
 pub use event::Event;
 pub use event_loop::EventLoop;
-pub use http::{StreamWriter, bind, configure_stream, listen, read_body, respond, respond_json};
+pub use http::{
+    StreamWriter, bind, bound_unsent, configure_stream, listen, read_body, respond, respond_json,
+};
 pub use log::open_log;
 pub use metrics::{MetricsHandle, install_metrics};
 pub use shutdown::cancel_on_signal;
