--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -9,7 +9,7 @@
 use std::thread;
 
 use agatestair_schema::settings::PolicyName;
-use agatestair_testbed::matrix::{Cell, all_cells, run_cells, short_cells};
+use agatestair_testbed::matrix::{Cell, all_cells, describe, run_cells, short_cells};
 use agatestair_testbed::{
     Layout, Testbed, TestbedError, TestbedOptions, finish_reaper, run_reaper,
 };
@@ -51,7 +51,7 @@
             cmd matrix {
                 /// Seeds as A..B, both included.
                 required --seeds range: String
-                /// Only this fault, or this fault at this step: FAULT, FAULT@STEP or @STEP.
+                /// Only some cells: FAULT, FAULT+FAULT, either with @STEP, or @STEP.
                 optional --only cell: String
                 /// One cell for each fault instead of every fault at every step.
                 optional --short
@@ -111,6 +111,9 @@
     let report = run_cells(cells, flags.jobs.unwrap_or(DEFAULT_JOBS), |result| {
         let number = done.fetch_add(1, Ordering::Relaxed) + 1;
         println!("{number:>4} of {total} {}", result.line());
+        if !result.passed() {
+            println!("{}", describe(result));
+        }
     });
     println!("{report}");
     Ok(if report.passed() { ExitCode::SUCCESS } else { ExitCode::from(EXIT_FAILED) })
@@ -120,9 +123,13 @@
     let Some(only) = only else {
         return true;
     };
-    let (fault, step) = only.split_once('@').unwrap_or((only, ""));
-    (fault.is_empty() || fault == cell.fault.name())
-        && (step.is_empty() || step == cell.step.name())
+    let name = cell.name();
+    let (faults, step) = name.split_once('@').unwrap_or((&name, ""));
+    match only.split_once('@') {
+        Some(("", wanted)) => wanted == step,
+        Some(_) => only == name,
+        None => only == faults,
+    }
 }
 
 fn up(flags: &flags::Up) -> Result<(), String> {
--- a/crates/testbed/src/matrix/cell.rs
+++ b/crates/testbed/src/matrix/cell.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use agatestair_schema::caller::RunState;
+use agatestair_schema::platform::PlatformFaults;
+use agatestair_schema::standins::EndpointFaults;
 
 use crate::caller::{Caller, Target};
 use crate::checker::{CallKind, CallerRecord, Promise, PromiseCounts, Records, Seen, check};
@@ -13,8 +14,8 @@
 
 use super::fault::{FAULT_INSTANCE, Fault};
 use super::probe::ListsProbe;
-use super::step::{STEP_INSTANCE, Step};
-use super::traffic::{Settled, Traffic, ask, call, targets};
+use super::step::{STEP_INSTANCE, Step, fault_all};
+use super::traffic::{Settled, Traffic, UNKNOWN_CODE, ask, call, targets};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -32,6 +33,8 @@
     pub step: Step,
     /// Fault.
     pub fault: Fault,
+    /// Second fault beside it; [`Fault::None`] for none.
+    pub second: Fault,
     /// Seed of the traffic and the stand-ins.
     pub seed: u64,
     /// Protections switched off, to show that the checker can fail.
@@ -53,15 +56,29 @@
     pub took: Duration,
 }
 
+impl Cell {
+    /// Name of the cell, as `--only` takes it.
+    pub fn name(&self) -> String {
+        let second = match self.second {
+            Fault::None => String::new(),
+            second => format!("+{}", second.name()),
+        };
+        format!("{}{second}@{}", self.fault.name(), self.step.name())
+    }
+
+    fn any(&self, holds: impl Fn(Fault) -> bool) -> bool {
+        holds(self.fault) || holds(self.second)
+    }
+}
+
 impl CellResult {
     /// One line for the progress of a run.
     pub fn line(&self) -> String {
         format!(
-            "{:<7} {:>5.1} s  {} at {} seed {}",
+            "{:<7} {:>5.1} s  {} seed {}",
             if self.passed() { "passed" } else { "FAILED" },
             self.took.as_secs_f64(),
-            self.cell.fault.name(),
-            self.cell.step.name(),
+            self.cell.name(),
             self.cell.seed
         )
     }
@@ -123,15 +140,19 @@
     cell.step.arm(&testbed)?;
     let traffic = Traffic::start(&testbed, cell.seed);
     result.reached = cell.step.reach(&mut testbed)?;
+    testbed.fault_platform(&PlatformFaults::default())?;
+    fault_all(&testbed, &EndpointFaults::default())?;
     cell.fault.inject(&mut testbed)?;
+    cell.second.inject(&mut testbed)?;
     cell.step.release(&testbed)?;
     cell.fault.heal(&mut testbed)?;
+    cell.second.heal(&mut testbed)?;
     let settled = traffic.join();
     cell.step.undo(&mut testbed)?;
     let recovered = wait_serving(&testbed, cell.seed + 1_000_000);
     let records = Records::read(&testbed.client, &testbed.plan.recorder)?;
     result.counts = check(&records, &callers_of(&cell, &testbed, &settled));
-    note_unsettled(&cell, &settled, &mut result.counts);
+    note_unsettled(&settled, &records, &mut result.counts);
     if let Some(probe) = probe {
         probe.finish(&records, &mut result.counts);
     }
@@ -145,7 +166,7 @@
 /// an answer that does not come is a cut too.
 fn callers_of(cell: &Cell, testbed: &Testbed, settled: &[Settled]) -> Vec<CallerRecord> {
     let mut broken = Vec::new();
-    if cell.fault.breaks_streams() {
+    if cell.any(Fault::breaks_streams) {
         broken.push(testbed.plan.instances[FAULT_INSTANCE].name.clone());
     }
     if cell.step == Step::StartUp {
@@ -166,19 +187,17 @@
         .collect()
 }
 
-/// A key that was claimed by an entry that is killed may stay unknown: the service has not seen it,
-/// but the killed entry's call could still be on its way, so that neither answer would be safe.
-fn note_unsettled(cell: &Cell, settled: &[Settled], counts: &mut PromiseCounts) {
-    let claims_lost = cell.fault.loses_claims() || cell.step == Step::StartUp;
+/// An outcome may stay unknown only if the call had no effect: then its claim stands, the service has
+/// not seen its key, and it could still be on its way, so that neither answer would be safe.
+fn note_unsettled(settled: &[Settled], records: &Records, counts: &mut PromiseCounts) {
     for request in settled {
-        let last = request.records.last();
-        let unknown = last.is_some_and(|last| last.seen == Seen::Refused(RunState::Unknown));
-        if unknown && claims_lost {
+        let Some(last) = request.records.last() else {
             continue;
-        }
-        let detail = last.map(|last| format!("{:?} {:?}: {:?}", last.kind, last.key, last.seen));
-        let broken = (!request.settled).then(|| detail.unwrap_or_default());
-        counts.note(Promise::Unsettled, broken);
+        };
+        let ran = records.runs.iter().any(|run| run.key == last.key && run.started_ms > 0);
+        let unknown = last.code == UNKNOWN_CODE && !last.key.is_empty() && !ran;
+        let detail = || format!("{:?} {:?}: {:?} {}", last.kind, last.key, last.seen, last.code);
+        counts.note(Promise::Unsettled, (!request.settled && !unknown).then(detail));
     }
 }
 
--- a/crates/testbed/src/matrix/fault.rs
+++ b/crates/testbed/src/matrix/fault.rs
@@ -158,16 +158,13 @@
         )
     }
 
-    /// Whether the outcome of a keyed write may stay unknown, because the entry that claimed its key
-    /// is gone and the service has not seen the key.
-    pub fn loses_claims(self) -> bool {
-        matches!(self, Self::EntryKilled | Self::InstanceKilled)
-    }
-
-    /// Injects the fault. Faults of stand-ins replace what the step had set on them.
+    /// Injects the fault. The stand-ins must have no other faults of the same kind in force.
     pub fn inject(self, testbed: &mut Testbed) -> Result<(), TestbedError> {
         self.inject_processes(testbed)?;
-        testbed.fault_platform(&self.platform_faults())?;
+        let platform = self.platform_faults();
+        if platform != PlatformFaults::default() {
+            testbed.fault_platform(&platform)?;
+        }
         self.inject_endpoints(testbed)?;
         for route in self.routes(testbed) {
             testbed.fault_route(&route, &self.route_faults())?;
@@ -209,7 +206,6 @@
     fn inject_endpoints(self, testbed: &Testbed) -> Result<(), TestbedError> {
         let none = EndpointFaults::default;
         let pieces = || EndpointFaults { share: 0.3, ..none() };
-        fault_all(testbed, &none())?;
         match self {
             Self::ReportsStale => {
                 fault_all(testbed, &EndpointFaults { stale_reports: true, ..none() })
--- a/crates/testbed/src/matrix/mod.rs
+++ b/crates/testbed/src/matrix/mod.rs
@@ -12,5 +12,5 @@
 
 pub use cell::{Cell, CellResult, run_cell};
 pub use fault::Fault;
-pub use run::{MatrixReport, all_cells, run_cells, short_cells};
+pub use run::{MatrixReport, all_cells, coverage_tables, describe, run_cells, short_cells};
 pub use step::Step;
--- a/crates/testbed/src/matrix/run.rs
+++ b/crates/testbed/src/matrix/run.rs
@@ -45,12 +45,12 @@
     }
 }
 
-fn describe(result: &CellResult) -> String {
+/// What a cell that failed showed.
+pub fn describe(result: &CellResult) -> String {
     let cell = &result.cell;
     let mut text = format!(
-        "FAILED {} at {} seed {} after {:.1} s",
-        cell.fault.name(),
-        cell.step.name(),
+        "FAILED {} seed {} after {:.1} s",
+        cell.name(),
         cell.seed,
         result.took.as_secs_f64()
     );
@@ -70,22 +70,70 @@
 pub fn all_cells(seed: u64) -> Vec<Cell> {
     let faults = Fault::ALL;
     let pairs = Step::ALL.into_iter().flat_map(|step| faults.map(|fault| (step, fault)));
-    pairs
-        .filter(|(step, fault)| can_meet(*step, *fault))
-        .map(|(step, fault)| Cell { step, fault, seed, disabled: Vec::new() })
-        .collect()
+    let singles = pairs.filter(|(step, fault)| can_meet(*step, *fault));
+    let singles = singles.map(|(step, fault)| cell(step, fault, Fault::None, seed));
+    singles.chain(pair_cells(seed)).collect()
+}
+
+/// Pairs of faults that bear on a promise together.
+const PAIRS: [(Step, Fault, Fault); 18] = [
+    (Step::Claim, Fault::ReplyLost, Fault::ControlKilled),
+    (Step::Claimed, Fault::ReplyLost, Fault::EntryPaused),
+    (Step::Dispatch, Fault::EngineCrash, Fault::EntryKilled),
+    (Step::Effect, Fault::EntryKilled, Fault::StoreDown),
+    (Step::Effect, Fault::AnswerLost, Fault::StoreDown),
+    (Step::RecordAnswer, Fault::ReplyLost, Fault::EntryKilled),
+    (Step::MidStream, Fault::EngineCrash, Fault::ControlKilled),
+    (Step::MidStream, Fault::StreamCut, Fault::Partition),
+    (Step::LeaseTake, Fault::ControlPaused, Fault::ReplyLost),
+    (Step::LeaseRenew, Fault::ControlPaused, Fault::StoreSlow),
+    (Step::OrderIntent, Fault::ReplyLost, Fault::ControlKilled),
+    (Step::OrderSent, Fault::ControlPaused, Fault::EngineCrash),
+    (Step::OrderDone, Fault::Partition, Fault::EngineCrash),
+    (Step::Drain, Fault::Partition, Fault::EngineCrash),
+    (Step::ConfigCommit, Fault::ReplyLost, Fault::OperatorsRace),
+    (Step::ConfigSpread, Fault::Partition, Fault::ControlKilled),
+    (Step::StartUp, Fault::StoreDown, Fault::EngineCrash),
+    (Step::Shutdown, Fault::StoreDown, Fault::EngineCrash),
+];
+
+fn pair_cells(seed: u64) -> impl Iterator<Item = Cell> {
+    PAIRS.into_iter().map(move |(step, fault, second)| cell(step, fault, second, seed))
+}
+
+fn cell(step: Step, fault: Fault, second: Fault, seed: u64) -> Cell {
+    Cell { step, fault, second, seed, disabled: Vec::new() }
+}
+
+/// Markdown tables of the cells: which step runs with which fault, and the pairs.
+pub fn coverage_tables() -> String {
+    let mut text =
+        String::from("| fault | steps at which it runs | steps left out |\n| --- | --- | --- |\n");
+    for fault in Fault::ALL {
+        let (run, out): (Vec<Step>, Vec<Step>) =
+            Step::ALL.into_iter().partition(|step| can_meet(*step, fault));
+        let names = |steps: &[Step]| steps.iter().map(|s| s.name()).collect::<Vec<_>>().join(", ");
+        let run = if out.is_empty() { "all".to_owned() } else { names(&run) };
+        text.push_str(&format!("| `{}` | {run} | {} |\n", fault.name(), names(&out)));
+    }
+    text.push_str("\n| pair | step |\n| --- | --- |\n");
+    for (step, fault, second) in PAIRS {
+        let pair = format!("| `{}+{}` | {} |\n", fault.name(), second.name(), step.name());
+        text.push_str(&pair);
+    }
+    text
 }
 
 /// One cell for each step and each fault, for a short run.
 pub fn short_cells(seed: u64) -> Vec<Cell> {
     let steps = Step::ALL;
-    let cell = |(index, fault): (usize, Fault)| {
+    let short = |(index, fault): (usize, Fault)| {
         let step = (0..steps.len())
             .map(|offset| steps[(index + offset) % steps.len()])
             .find(|step| can_meet(*step, fault));
-        step.map(|step| Cell { step, fault, seed, disabled: Vec::new() })
+        step.map(|step| cell(step, fault, Fault::None, seed))
     };
-    Fault::ALL.into_iter().enumerate().filter_map(cell).collect()
+    Fault::ALL.into_iter().enumerate().filter_map(short).collect()
 }
 
 /// Whether a fault bears on what happens at a step.
--- a/crates/testbed/src/matrix/traffic.rs
+++ b/crates/testbed/src/matrix/traffic.rs
@@ -23,7 +23,7 @@
 /// Answers in a row after which an unknown outcome is taken for the last word.
 const UNKNOWN_ANSWERS: usize = 40;
 /// Code of a refusal whose outcome is not known.
-const UNKNOWN_CODE: &str = "outcome_unknown";
+pub const UNKNOWN_CODE: &str = "outcome_unknown";
 /// Completions in a cell.
 const COMPLETIONS: usize = 6;
 /// Keyed writes in a cell.
