--- a/crates/report/src/html.rs
+++ b/crates/report/src/html.rs
@@ -10,7 +10,7 @@
 
 /// Style of the page.
 const STYLE: &str = "
-body{font:15px/1.45 system-ui,sans-serif;color:#222;background:#fbfbf9;margin:2rem auto;max-width:62rem;padding:0 1rem}
+body{font:15px/1.45 system-ui,sans-serif;color:#222;background:#fbfbf9;margin:2rem auto;max-width:66rem;padding:0 1rem}
 h1{font-size:1.5rem;margin:0}h2{font-size:1.1rem;margin:0}
 table{border-collapse:collapse;width:100%;margin:.6rem 0}
 th,td{text-align:right;padding:.25rem .6rem;border-bottom:1px solid #e2e2de;font-variant-numeric:tabular-nums}
@@ -24,7 +24,7 @@
 svg{width:100%;height:auto}
 th{white-space:nowrap;font-weight:600}td:first-child{white-space:nowrap}
 .key{list-style:none;padding:0}
-a{color:inherit}
+a{color:inherit}.wide{overflow-x:auto}th.group{text-align:center}th:first-child{vertical-align:bottom}.wide tr:nth-child(2) th{text-align:right}
 ";
 
 /// Renders the report as one page that needs nothing else.
@@ -59,13 +59,18 @@
     if report.subjects.is_empty() {
         return "<p>No request was counted yet.</p>\n".to_owned();
     }
-    let mut text = "<table><tr><th>plan and service</th><th class=\"text\">state</th>\
-                    <th>objective</th><th>budget left</th>"
-        .to_owned();
-    for window in &report.subjects[0].windows {
-        let _ = write!(text, "<th>burn {}</th>", window_name(window.window_s));
+    let windows = &report.subjects[0].windows;
+    let mut text = format!(
+        "<div class=\"wide\"><table><tr><th rowspan=\"2\">plan and service</th>\
+         <th class=\"text\" rowspan=\"2\">state</th><th rowspan=\"2\">objective</th>\
+         <th rowspan=\"2\">budget left</th><th class=\"group\" colspan=\"{}\">burn over</th>\
+         <th class=\"text\" rowspan=\"2\">mostly</th></tr>\n<tr>",
+        windows.len()
+    );
+    for window in windows {
+        let _ = write!(text, "<th>{}</th>", window_name(window.window_s));
     }
-    text.push_str("<th class=\"text\">mostly</th></tr>\n");
+    text.push_str("</tr>\n");
     for (index, subject) in report.subjects.iter().enumerate() {
         let title = escape(&title_of(&subject.subject));
         let _ = write!(
@@ -82,7 +87,7 @@
         let reason = subject.main_reason.map_or("", crate::outcome::Reason::name);
         let _ = writeln!(text, "<td class=\"text\">{reason}</td></tr>");
     }
-    text.push_str("</table>\n<p class=\"note\">A burn of 1 uses up the allowed misses exactly over the window.");
+    text.push_str("</table></div>\n<p class=\"note\">A burn of 1 uses up the allowed misses exactly over the window.");
     text.push_str(" Fast burn: act now. Slow burn: act within hours.</p>\n");
     text.push_str(&colour_key());
     text
--- a/crates/report/src/text.rs
+++ b/crates/report/src/text.rs
@@ -10,6 +10,9 @@
 const HOUR_S: u64 = 60 * MINUTE_S;
 const DAY_S: u64 = 24 * HOUR_S;
 
+/// Least part of a miss that is shown; smaller ones come from a window that cuts an interval.
+const LEAST_SHOWN: f64 = 0.5;
+
 /// Renders the report as text for a terminal.
 pub fn render_text(report: &BurnReport) -> String {
     let mut text = format!(
@@ -73,6 +76,7 @@
     let parts: Vec<String> = window
         .reasons
         .iter()
+        .filter(|count| count.misses >= LEAST_SHOWN)
         .map(|count| format!("{} {:.0}", count.reason.name(), count.misses))
         .collect();
     if parts.is_empty() { "none".to_owned() } else { parts.join(", ") }
