Experiment script ends at once on a signal; documentation of the load crate without warnings

Cause: with the load tool in the foreground bash ran the trap only after the run; cargo doc with warnings denied refused a link to a private constant.

--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -36,7 +36,7 @@
 pub use probe::RevisionSample;
 pub use promises::{Evidence, LEAVE_GRACE, Promise, Promises, check_promises};
 pub use records::Records;
-pub use run::{CallerCounts, RunResult, RunSettings, fleet_of, run_once};
+pub use run::{CallerCounts, LATE_SEND, RunResult, RunSettings, fleet_of, run_once};
 pub use scenario::{Fleet, Plan, SCENARIOS, Scenario, Window, find_scenario};
 pub use summary::{PolicySummary, median, own_ratios, render_table, summarise_policies};
 pub use work::{Arrival, Class, CompletionShape, Work};
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -15,7 +15,7 @@
 case "$1" in -h | --help) usage 0 ;; esac
 scenario=$1
 shift
-seeds=1..1 deployment=lexicon policies=own,round_robin,least_reported out= load=1 up=()
+seeds=1..1 deployment=lexicon policies=own,round_robin,least_reported out= load_factor=1 up=()
 while [ $# -gt 0 ]; do
     [ $# -ge 2 ] || { echo "$1 needs a value" >&2; usage 1; }
     case "$1" in
@@ -23,7 +23,7 @@
     --deployment) deployment=$2 ;;
     --policies) policies=$2 ;;
     --out) out=$2 ;;
-    --load) load=$2 ;;
+    --load) load_factor=$2 ;;
     --entries | --engines) up+=("$1" "$2") ;;
     *) echo "unknown option $1" >&2; usage 1 ;;
     esac
@@ -43,10 +43,12 @@
 bin=target/release
 folder=$(mktemp -d)
 inputs=()
+load_pid=
 
 # Closing the standard input of `up` ends the deployment and all of its processes.
 cleanup() {
     local fd
+    [ -z "$load_pid" ] || kill "$load_pid" 2>/dev/null || true
     for fd in "${inputs[@]}"; do
         exec {fd}>&-
     done
@@ -74,5 +76,12 @@
 
 json=${out:-$folder}/$scenario-$deployment.json
 [ -z "$out" ] || mkdir -p "$out"
-"$bin/agatestair-load" run "$scenario" --seeds "$seeds" --load "$load" --json "$json" "${files[@]}"
+# In the background, so that a signal ends the script at once.
+"$bin/agatestair-load" run "$scenario" --seeds "$seeds" --load "$load_factor" --json "$json" \
+    "${files[@]}" &
+load_pid=$!
+status=0
+wait "$load_pid" || status=$?
+load_pid=
 [ -z "$out" ] || echo "results: $json"
+exit "$status"
