--- a/crates/entry/src/claims/settle.rs
+++ b/crates/entry/src/claims/settle.rs
@@ -5,6 +5,7 @@
 
 use agatestair_schema::endpoint::{KeyState, KeyStatus};
 use bytes::Bytes;
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use ureq::Agent;
 
 use crate::core::message::CallAnswer;
@@ -49,7 +50,8 @@
 }
 
 fn ask(agent: &Agent, address: &str, key: &str) -> Option<KeyStatus> {
-    let url = format!("http://{address}/agatestair/keys/{}", escape(key));
+    let url =
+        format!("http://{address}/agatestair/keys/{}", utf8_percent_encode(key, NON_ALPHANUMERIC));
     let answer = agent.get(url).call().ok().filter(|answer| answer.status().as_u16() == 200)?;
     let body = answer.into_body().with_config().limit(MAX_ANSWER_BYTES).read_to_vec().ok()?;
     serde_json::from_slice(&body).ok()
@@ -63,16 +65,3 @@
         endpoint: address.clone(),
     }
 }
-
-/// Escapes a key for use as one segment of a path.
-fn escape(key: &str) -> String {
-    let mut escaped = String::with_capacity(key.len());
-    for byte in key.bytes() {
-        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
-            escaped.push(char::from(byte));
-        } else {
-            escaped.push_str(&format!("%{byte:02X}"));
-        }
-    }
-    escaped
-}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -88,9 +88,7 @@
     let (snapshots, writer) =
         SnapshotWriter::start(platform, &settings.instance, &boot, log.clone())
             .change_context(StartError::Resources)?;
-    let (leave, closing, done) =
-        (CancellationToken::new(), CancellationToken::new(), CancellationToken::new());
-    cancel_on_signal(&leave).change_context(StartError::Resources)?;
+    let (closing, done) = (CancellationToken::new(), CancellationToken::new());
     let (view, published) = watch::channel(View::default());
     let mut event_loop = EventLoop::new();
     let links = LinkChannel::default();
@@ -109,7 +107,7 @@
     let (_actor, channel) = start_actor(&mut event_loop, parts);
     links.open(channel.clone());
     node.dial(control);
-    watch_leave(leave, channel.clone()).change_context(StartError::Resources)?;
+    watch_signals(channel.clone()).change_context(StartError::Resources)?;
     let front = Arc::new(Front {
         places: Arc::new(Semaphore::new(settings.max_open as usize)),
         settings: settings.clone(),
@@ -203,8 +201,10 @@
     serde_json::from_str("{}").expect("all settings of links have defaults")
 }
 
-/// Tells the actor to leave when `leave` is cancelled.
-fn watch_leave(leave: CancellationToken, channel: Channel<EntryMessage>) -> std::io::Result<()> {
+/// Tells the actor to leave on the first termination signal.
+fn watch_signals(channel: Channel<EntryMessage>) -> std::io::Result<()> {
+    let leave = CancellationToken::new();
+    cancel_on_signal(&leave)?;
     let runtime = tokio::runtime::Builder::new_current_thread().build()?;
     std::thread::Builder::new().name("leave".to_owned()).spawn(move || {
         runtime.block_on(leave.cancelled());
