Fault matrix: traffic also starts while the fault lasts

Refusals were never met before (false_not_run 0 of 0): all traffic began ahead of the fault. The check now looks at all answers of the request.

--- a/crates/testbed/src/matrix/cell.rs
+++ b/crates/testbed/src/matrix/cell.rs
@@ -1,7 +1,9 @@
 //! Runs one cell of the matrix.
 
+use std::thread;
 use std::time::{Duration, Instant};
 
+use agatestair_schema::caller::RunState;
 use agatestair_schema::platform::PlatformFaults;
 use agatestair_schema::standins::EndpointFaults;
 
@@ -23,6 +25,10 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(20);
 /// Longest wait for one answer after the healing.
 const ANSWER_TIME: Duration = Duration::from_secs(5);
+/// Seed of the traffic that starts while the fault lasts, above that of the first.
+const LATE_SEED: u64 = 500_000;
+/// Time for which that traffic meets the fault.
+const LATE_TIME: Duration = Duration::from_millis(300);
 /// Time between two attempts after the healing.
 const RECOVERY_POLL: Duration = Duration::from_millis(100);
 
@@ -145,9 +151,14 @@
     cell.fault.inject(&mut testbed)?;
     cell.second.inject(&mut testbed)?;
     cell.step.release(&testbed)?;
+    cell.fault.wait();
+    cell.second.wait();
+    let late_traffic = Traffic::start(&testbed, cell.seed + LATE_SEED);
+    thread::sleep(LATE_TIME);
     cell.fault.heal(&mut testbed)?;
     cell.second.heal(&mut testbed)?;
-    let settled = traffic.join();
+    let mut settled = traffic.join();
+    settled.extend(late_traffic.join());
     cell.step.undo(&mut testbed)?;
     let recovered = wait_serving(&testbed, cell.seed + 1_000_000);
     let records = Records::read(&testbed.client, &testbed.plan.recorder)?;
@@ -195,7 +206,8 @@
             continue;
         };
         let ran = records.runs.iter().any(|run| run.key == last.key && run.started_ms > 0);
-        let unknown = last.code == UNKNOWN_CODE && !last.key.is_empty() && !ran;
+        let told = request.records.iter().any(|record| record.code == UNKNOWN_CODE);
+        let unknown = told && last.seen == Seen::Refused(RunState::Unknown) && !ran;
         let detail = || format!("{:?} {:?}: {:?} {}", last.kind, last.key, last.seen, last.code);
         counts.note(Promise::Unsettled, (!request.settled && !unknown).then(detail));
     }
@@ -227,7 +239,7 @@
         if last.iter().all(|record| record.seen == Seen::Whole) {
             return Ok(());
         }
-        std::thread::sleep(RECOVERY_POLL);
+        thread::sleep(RECOVERY_POLL);
     }
     let seen: Vec<String> = last
         .iter()
--- a/crates/testbed/src/matrix/fault.rs
+++ b/crates/testbed/src/matrix/fault.rs
@@ -266,8 +266,8 @@
         }
     }
 
-    /// Waits as long as the fault lasts, then ends it.
-    pub fn heal(self, testbed: &mut Testbed) -> Result<(), TestbedError> {
+    /// Waits as long as the fault lasts.
+    pub fn wait(self) {
         match self {
             Self::None => {}
             Self::EntryPaused
@@ -277,6 +277,10 @@
             | Self::PartitionDown => thread::sleep(PAUSE_TIME),
             _ => thread::sleep(FAULT_TIME),
         }
+    }
+
+    /// Ends the fault.
+    pub fn heal(self, testbed: &mut Testbed) -> Result<(), TestbedError> {
         testbed.fault_platform(&PlatformFaults::default())?;
         fault_all(testbed, &EndpointFaults::default())?;
         if self != Self::CallerSilent {
