--- a/scripts/control-cost.sh
+++ b/scripts/control-cost.sh
@@ -39,5 +39,6 @@
 
 port=24000
 for instances in 2 4 8 16 64 340; do measure $port "$instances" 17 100; port=$((port + 100)); done
-for endpoints in 10 40 160 910; do measure $port 8 "$endpoints" 100; port=$((port + 100)); done
+for endpoints in 20 40 160 910; do measure $port 8 "$endpoints" 100; port=$((port + 100)); done
 for customers in 10 100 1000 3100; do measure $port 8 17 "$customers"; port=$((port + 100)); done
+measure $port 340 910 3100
