--- a/scripts/control-cost.sh
+++ b/scripts/control-cost.sh
@@ -37,11 +37,12 @@
     control=
 }
 
-# Each point listens on ports from its first one on, one for each instance and ten more.
-port=24000
-for instances in 2 4 8 16; do measure $port "$instances" 17 100; port=$((port + 100)); done
-for endpoints in 20 40 160 910; do measure $port 8 "$endpoints" 100; port=$((port + 100)); done
-for customers in 10 100 1000 3100; do measure $port 8 17 "$customers"; port=$((port + 100)); done
-measure 26000 64 17 100
-measure 26200 340 17 100
-measure 26800 340 910 3100
+# Each point listens on ports from its first one on, one for each instance and ten more, above those
+# that the operating system hands out.
+port=61000
+for instances in 2 4 8 16; do measure $port "$instances" 17 100; port=$((port + 50)); done
+for endpoints in 20 40 160 910; do measure $port 8 "$endpoints" 100; port=$((port + 50)); done
+for customers in 10 100 1000 3100; do measure $port 8 17 "$customers"; port=$((port + 50)); done
+measure 62000 64 17 100
+measure 62200 340 17 100
+measure 62800 340 910 3100
