--- a/crates/testbed/src/matrix/cell.rs
+++ b/crates/testbed/src/matrix/cell.rs
@@ -167,7 +167,8 @@
     if let Some(probe) = probe {
         probe.finish(&records, &mut result.counts);
     }
-    if recovered.is_err() || !result.counts.is_clean() {
+    let failed = recovered.is_err() || !result.counts.is_clean();
+    if failed && cell.disabled.is_empty() {
         testbed.keep_folder();
     }
     recovered
