Entry tests: ports come from the testbed's blocks

One run of three failed: an entry was never ready, since the tests' ports lay in the range from which deployments of other processes reserve theirs. The tests now reserve a block in the same way.

--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use agatestair_schema::platform::PlatformFaults;
@@ -209,23 +209,45 @@
 
 /// Held while a process is started, which has this one's sockets until it runs its own program.
 static SPAWNING: Mutex<()> = Mutex::new(());
-/// First port that is handed out; all lie below those that outgoing connections get.
+/// First port of the first block; all lie below those that outgoing connections get.
 const FIRST_PORT: u32 = 10_000;
-/// Ports that one process hands out.
-const PORTS: u32 = 128;
-/// Processes whose ports do not overlap.
-const PROCESSES: u32 = 170;
+/// Ports of a block. The testbed uses the same blocks.
+const BLOCK_PORTS: u32 = 200;
+/// Number of blocks.
+const BLOCKS: u32 = 110;
 
-/// An address of this machine that is free now and that no outgoing connection takes.
+/// A block of ports; the listener on its first one keeps other processes from using it.
+struct PortBlock {
+    _lock: TcpListener,
+    first: u32,
+}
+
+impl PortBlock {
+    fn reserve() -> Self {
+        let start = std::process::id().wrapping_mul(7);
+        let blocks = (0..BLOCKS).map(|count| start.wrapping_add(count) % BLOCKS);
+        let mut free = blocks.filter_map(|block| {
+            let first = FIRST_PORT + block * BLOCK_PORTS;
+            Some(Self { _lock: bind(first).ok()?, first })
+        });
+        free.next().expect("a block of ports is free")
+    }
+}
+
+fn bind(port: u32) -> std::io::Result<TcpListener> {
+    TcpListener::bind(("127.0.0.1", u16::try_from(port).expect("ports are small")))
+}
+
+/// An address of this machine that is free now and that nobody else takes.
 pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
+    static BLOCK: OnceLock<PortBlock> = OnceLock::new();
+    static NEXT: AtomicU32 = AtomicU32::new(1);
     let _guard = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
-    let first = FIRST_PORT + std::process::id() % PROCESSES * PORTS;
+    let first = BLOCK.get_or_init(PortBlock::reserve).first;
     loop {
         let count = NEXT.fetch_add(1, Ordering::Relaxed);
-        assert!(count < 10 * PORTS, "no port is free");
-        let port = u16::try_from(first + count % PORTS).expect("ports are small");
-        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+        assert!(count < BLOCK_PORTS, "the block of ports is used up");
+        if let Ok(listener) = bind(first + count) {
             return listener.local_addr().expect("bound");
         }
     }
