Engines kept free of long prompts in the measure of the short work

Cause: short requests met a long prompt on every engine. Change: the first engines of an order that all entries share get no long prompts, as many as the short part of the work needs; long ones have a queue of their own.

--- a/crates/policy/src/assign.rs
+++ b/crates/policy/src/assign.rs
@@ -100,7 +100,7 @@
 }
 
 /// Hashes a name; the same in every process and build.
-fn hash_name(name: &str) -> u64 {
+pub(crate) fn hash_name(name: &str) -> u64 {
     let digest = Sha256::digest(name.as_bytes());
     let mut bytes = [0; 8];
     bytes.copy_from_slice(&digest[..8]);
--- a/crates/policy/src/fleet/endpoint.rs
+++ b/crates/policy/src/fleet/endpoint.rs
@@ -28,6 +28,8 @@
     /// Number of the fleet view that named it last.
     pub(crate) seen: u64,
     pub(crate) health: Health,
+    /// Whether it is kept free of long prompts.
+    pub(crate) reserved: bool,
     /// Ratio of its pace to the pool's usual pace; at least 1.
     pub(crate) slow: f64,
     /// Answers in progress.
@@ -64,6 +66,7 @@
             prefill: 0,
             seen: 0,
             health: Health::default(),
+            reserved: false,
             slow: 1.0,
             streams: Streams::default(),
             sent: SentHistory::default(),
--- a/crates/policy/src/fleet/pool.rs
+++ b/crates/policy/src/fleet/pool.rs
@@ -21,6 +21,8 @@
 pub(crate) enum Route {
     /// One engine processes the prompt and generates the answer.
     Whole,
+    /// As [`Self::Whole`], at an engine that is not kept for short prompts.
+    Long,
     /// A prefill engine processes the prompt, another engine generates the answer.
     Split,
 }
@@ -32,6 +34,8 @@
     pub(crate) members: Vec<EndpointKey>,
     /// Endpoints with room for whole requests.
     pub(crate) whole: KeySet,
+    /// Endpoints of `whole` that are not kept for short prompts.
+    pub(crate) wide: KeySet,
     /// Prefill engines with room.
     pub(crate) prefill: KeySet,
     /// Endpoints that serve and are not prefill engines, with room or not.
@@ -46,6 +50,8 @@
     pub(crate) last_turn: usize,
     /// Requests that wait for any endpoint.
     pub(crate) queue: PoolQueue,
+    /// Requests with long prompts that wait for an endpoint of `wide`.
+    pub(crate) long: PoolQueue,
     /// Requests that wait for a prefill engine.
     pub(crate) split: PoolQueue,
     /// Requests whose prompt was processed elsewhere.
@@ -68,6 +74,7 @@
             kind,
             members: Vec::new(),
             whole: KeySet::default(),
+            wide: KeySet::default(),
             prefill: KeySet::default(),
             whole_count: 0,
             mixed_count: 0,
@@ -75,6 +82,7 @@
             capacity: 0.0,
             last_turn: 0,
             queue: PoolQueue::default(),
+            long: PoolQueue::default(),
             split: PoolQueue::default(),
             handoff: VecDeque::new(),
             lanes: Default::default(),
@@ -89,14 +97,30 @@
     pub(crate) fn queue(&mut self, route: Route) -> &mut PoolQueue {
         match route {
             Route::Whole => &mut self.queue,
+            Route::Long => &mut self.long,
             Route::Split => &mut self.split,
         }
     }
 
+    /// The queue of a route.
+    pub(crate) fn peek(&self, route: Route) -> &PoolQueue {
+        match route {
+            Route::Whole => &self.queue,
+            Route::Long => &self.long,
+            Route::Split => &self.split,
+        }
+    }
+
+    /// Requests that wait in all queues.
+    pub(crate) fn waiting(&self) -> u32 {
+        self.queue.count() + self.long.count() + self.split.count()
+    }
+
     /// Whether requests wait because no endpoint has room for them.
     pub(crate) fn is_full(&self) -> bool {
         let whole = self.queue.count() > 0 && self.whole.is_empty();
         let split = self.split.count() > 0 && self.prefill.is_empty();
-        whole || split
+        let long = self.long.count() > 0 && self.wide.is_empty();
+        whole || long || split
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 mod demand;
 mod fleet;
 mod keys;
+mod mix;
 mod moment;
 mod plans;
 mod queue;
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -27,6 +27,7 @@
 use crate::cache_map::CacheMap;
 use crate::fleet::{Endpoint, Pool, PoolKey};
 use crate::keys::{AttemptKey, EndpointKey, RequestKey};
+use crate::mix::WorkMix;
 use crate::moment::Moment;
 use crate::plans::PlanTable;
 use crate::queue::PlanQueue;
@@ -60,6 +61,7 @@
     settings: SchedulerSettings,
     random: ChaCha8Rng,
     speed: SpeedLearner,
+    mix: WorkMix,
     listed: bool,
     plans: PlanTable,
     endpoints: SlotMap<EndpointKey, Endpoint>,
@@ -98,6 +100,7 @@
             settings,
             random,
             speed,
+            mix: WorkMix::default(),
             listed: false,
             plans: PlanTable::default(),
             endpoints: SlotMap::with_key(),
@@ -217,7 +220,7 @@
     pub fn take_demand(&mut self, now: Moment) -> Vec<PlanDemand> {
         let pools = &self.pools;
         let waiting = |plan: usize| {
-            let queues = pools.values().flat_map(|pool| [&pool.queue, &pool.split]);
+            let queues = pools.values().flat_map(|pool| [&pool.queue, &pool.long, &pool.split]);
             queues.filter_map(|queue| queue.peek(plan)).map(PlanQueue::count).sum()
         };
         let taken = self.plans.iter_mut().enumerate();
@@ -233,7 +236,9 @@
                 if endpoint.prefill_only() {
                     pool.split.count()
                 } else {
-                    pool.queue.count() + u32::try_from(pool.handoff.len()).unwrap_or(u32::MAX)
+                    pool.queue.count()
+                        + pool.long.count()
+                        + u32::try_from(pool.handoff.len()).unwrap_or(u32::MAX)
                 }
             });
             waits.sum()
@@ -251,7 +256,7 @@
     /// Requests that wait for an endpoint.
     pub fn waiting(&self) -> u32 {
         let handoff = |pool: &Pool| u32::try_from(pool.handoff.len()).unwrap_or(u32::MAX);
-        self.pools.values().map(|p| p.queue.count() + p.split.count() + handoff(p)).sum()
+        self.pools.values().map(|p| p.waiting() + handoff(p)).sum()
     }
 
     /// Requests that were neither done nor refused nor withdrawn.
--- a/crates/policy/src/scheduler/admit.rs
+++ b/crates/policy/src/scheduler/admit.rs
@@ -32,6 +32,8 @@
 struct Expected {
     pool: PoolKey,
     route: Route,
+    /// Prompt tokens to process.
+    uncached: u32,
     /// Engine time in seconds.
     work: f64,
     /// Time to the first token once dispatched, in seconds.
@@ -55,6 +57,9 @@
             self.plans.plan_mut(plan).demand.ask(work.prompt_tokens, work.max_tokens);
         }
         let class = SizeClass::of(expected.work);
+        if matches!(facts.work, Work::Completion(_)) {
+            self.mix.note(now, expected.work, self.is_long(expected.uncached));
+        }
         let request = RequestKey::null();
         let ticket = Ticket { request, customer, class, work: expected.work, arrived: now };
         if self.settings.policy == PolicyName::Own {
@@ -87,7 +92,8 @@
     fn expect(&self, pool: PoolKey, facts: &RequestFacts) -> Expected {
         let Work::Completion(work) = &facts.work else {
             let whole = self.pools[pool].gap;
-            return Expected { pool, route: Route::Whole, work: CALL_WORK, first: whole, whole };
+            let route = Route::Whole;
+            return Expected { pool, route, uncached: 0, work: CALL_WORK, first: whole, whole };
         };
         let model = &self.settings.engine;
         let uncached = self.least_uncached(&work.blocks, work.prompt_tokens);
@@ -96,7 +102,7 @@
         let first = prefill + model.step_us / 1e6;
         let whole = first + f64::from(work.max_tokens) * self.pools[pool].gap;
         let route = self.route(pool, uncached);
-        Expected { pool, route, work: times.prefill + times.decode, first, whole }
+        Expected { pool, route, uncached, work: times.prefill + times.decode, first, whole }
     }
 
     /// Refuses when the plan's or the customer's part of the queue is full.
@@ -156,10 +162,7 @@
     /// at its guaranteed part of that rate, whichever is shorter.
     fn predicted_wait(&self, now: Moment, plan: usize, ticket: &Ticket, expected: Expected) -> f64 {
         let pool = &self.pools[expected.pool];
-        let queue = match expected.route {
-            Route::Whole => &pool.queue,
-            Route::Split => &pool.split,
-        };
+        let queue = pool.peek(expected.route);
         if queue.count() == 0 {
             return 0.0;
         }
--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -116,7 +116,7 @@
     /// by share and priority as within a queue, pools of equal rank taking turns.
     fn next_queue(&self, pools: &[PoolKey]) -> Option<QueueTurn> {
         let split = self.kind_split();
-        let routes = [Route::Whole, Route::Split];
+        let routes = [Route::Whole, Route::Long, Route::Split];
         let queues = pools.iter().flat_map(|pool| routes.map(|route| (*pool, route)));
         let turns = queues.filter_map(|(pool, route)| {
             let part = self.open_part(pool, route)?;
@@ -129,7 +129,7 @@
     /// Rank of the plan whose request a queue would give next.
     fn head_rank(&self, pool: PoolKey, route: Route, split: KindSplit) -> Option<TurnRank> {
         let pool = &self.pools[pool];
-        let queue = if route == Route::Whole { &pool.queue } else { &pool.split };
+        let queue = pool.peek(route);
         if queue.count() == 0 {
             return None;
         }
@@ -168,7 +168,7 @@
     /// Sends a request that no endpoint with room can serve whole by way of the prefill engines;
     /// returns whether there are none.
     fn reroute(&mut self, key: RequestKey, pool: PoolKey, route: Route) -> bool {
-        let split = route == Route::Whole && self.pools[pool].prefill_count > 0;
+        let split = route != Route::Split && self.pools[pool].prefill_count > 0;
         if split {
             self.requests[key].route = Route::Split;
         }
@@ -181,6 +181,7 @@
         let whole = !pool.whole.is_empty();
         match route {
             Route::Whole => whole.then_some(Part::Whole),
+            Route::Long => (!pool.wide.is_empty()).then_some(Part::Whole),
             Route::Split if !pool.prefill.is_empty() => Some(Part::Prompt),
             Route::Split if pool.prefill_count == 0 && whole => Some(Part::Whole),
             Route::Split if pool.mixed_count > 0 && whole && pool.queue.count() == 0 => {
--- a/crates/policy/src/scheduler/fleet_update.rs
+++ b/crates/policy/src/scheduler/fleet_update.rs
@@ -5,6 +5,7 @@
 
 use agatestair_schema::link::{EndpointKind, EndpointState, EndpointView, FleetView};
 
+use crate::assign::hash_name;
 use crate::fleet::{Endpoint, Pool, PoolKey};
 use crate::keys::EndpointKey;
 use crate::moment::Moment;
@@ -72,7 +73,11 @@
         };
         for model in models {
             let pool = self.intern_pool(&service, &model, kind);
-            self.pools[pool].members.push(key);
+            let rank = hash_name(&self.endpoints[key].name);
+            let members = &mut self.pools[pool].members;
+            let place =
+                members.partition_point(|member| hash_name(&self.endpoints[*member].name) < rank);
+            members.insert(place, key);
             self.endpoints[key].pools.push(pool);
         }
     }
@@ -82,6 +87,7 @@
             let pool = &mut self.pools[pool];
             pool.members.retain(|member| *member != key);
             pool.whole.set(key, false);
+            pool.wide.set(key, false);
             pool.prefill.set(key, false);
         }
     }
@@ -164,5 +170,6 @@
         let pool = &mut pools[*pool];
         pool.prefill.set(key, room && endpoint.prefill_only());
         pool.whole.set(key, room && !endpoint.prefill_only());
+        pool.wide.set(key, room && !endpoint.prefill_only() && !endpoint.reserved);
     }
 }
--- a/crates/policy/src/scheduler/observe.rs
+++ b/crates/policy/src/scheduler/observe.rs
@@ -2,7 +2,7 @@
 
 use agatestair_schema::link::EndpointKind;
 
-use crate::fleet::{Phase, PoolKey};
+use crate::fleet::{Endpoint, Phase, PoolKey};
 use crate::keys::EndpointKey;
 use crate::moment::Moment;
 use crate::scheduler::Scheduler;
@@ -18,6 +18,7 @@
         for pool in pools {
             self.update_usual(now, pool);
             self.judge_members(now, pool);
+            self.reserve_members(pool);
         }
     }
 
@@ -71,6 +72,25 @@
         }
     }
 
+    /// Keeps the first engines of the pool's common order free of long prompts.
+    fn reserve_members(&mut self, pool: PoolKey) {
+        let pool = &self.pools[pool];
+        if pool.kind != EndpointKind::Engine {
+            return;
+        }
+        let fits = |endpoint: &Endpoint| {
+            let out = matches!(endpoint.health.phase(), Phase::Ejected(_));
+            endpoint.serving() && !endpoint.prefill_only() && !out
+        };
+        let fit = pool.members.iter().filter(|key| fits(&self.endpoints[**key])).count();
+        let mut left = self.mix.reserved(fit);
+        for key in &pool.members {
+            let Some(endpoint) = self.endpoints.get_mut(*key) else { continue };
+            endpoint.reserved = fits(endpoint) && left > 0;
+            left -= usize::from(endpoint.reserved);
+        }
+    }
+
     /// Ejects an endpoint, unless too large a part of one of its pools is ejected already.
     pub(crate) fn eject(&mut self, now: Moment, key: EndpointKey) {
         let part = self.settings.eject.max_part;
--- a/crates/policy/src/scheduler/place.rs
+++ b/crates/policy/src/scheduler/place.rs
@@ -48,6 +48,7 @@
         let pool = &self.pools[request.pool];
         let room = match part {
             Part::Prompt => &pool.prefill,
+            Part::Whole if request.route == Route::Long => &pool.wide,
             Part::Whole | Part::Answer => &pool.whole,
         };
         self.scratch.clear();
@@ -113,11 +114,19 @@
         let split = pool.prefill_count > 0 && pool.whole_count > 0;
         if split && uncached >= self.settings.engine.split_tokens {
             Route::Split
+        } else if self.is_long(uncached) {
+            Route::Long
         } else {
             Route::Whole
         }
     }
 
+    /// Whether a prompt counts as long.
+    pub(crate) fn is_long(&self, uncached: u32) -> bool {
+        let model = &self.settings.engine;
+        f64::from(uncached) * model.prefill_us >= model.long_us
+    }
+
     /// Prompt tokens that the best holder of a prompt's prefix has to process.
     pub(crate) fn least_uncached(&self, blocks: &[u64], prompt: u32) -> u32 {
         let Some(holder) = self.cache.best(blocks).first() else {
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -62,6 +62,8 @@
     pub block_tokens: u32,
     /// Greatest prefill backlog, in microseconds, at which an engine is sent further work.
     pub prefill_window: f64,
+    /// Processing time of a prompt, in microseconds, from which it counts as long.
+    pub long_us: f64,
     /// Least number of uncached prompt tokens for which a prefill engine is used.
     pub split_tokens: u32,
     /// Greatest number of uncached prompt tokens that a decode engine takes.
@@ -79,6 +81,7 @@
             call_slots: 64,
             block_tokens: 4096,
             prefill_window: 60_000.0,
+            long_us: 120_000.0,
             split_tokens: 1024,
             decode_prompt: 2048,
         }
