--- a/crates/policy/src/fleet/endpoint.rs
+++ b/crates/policy/src/fleet/endpoint.rs
@@ -93,11 +93,16 @@
         self.limit = self.own_limit(reported, part);
     }
 
-    /// Takes the number of active attempts as the engine's limit while others wait there.
+    /// Takes the number of active attempts as the engine's limit while others wait there, and
+    /// tries one more when all slots are in use and none waits.
     fn learn_slots(&mut self) {
-        let full = self.view.queued > 0 && self.view.active >= MIN_SLOTS;
-        if self.view.kind == EndpointKind::Engine && (full || self.view.active > self.slots) {
+        if self.view.kind == EndpointKind::Service {
+            return;
+        }
+        if self.view.queued > 0 && self.view.active >= MIN_SLOTS {
             self.slots = self.view.active;
+        } else if self.view.queued == 0 && self.view.active >= self.slots {
+            self.slots = self.view.active + 1;
         }
     }
 
@@ -107,7 +112,9 @@
         let slots = f64::from(self.slots);
         let fair = (slots * part).floor() as u32;
         let free = f64::from(self.slots.saturating_sub(reported));
-        let grown = self.reported_own + (free * part).ceil() as u32;
+        let excess = (slots / f64::from(reported.max(1))).min(1.0);
+        let kept = (f64::from(self.reported_own) * excess).floor() as u32;
+        let grown = kept + (free * part).round() as u32;
         fair.max(grown).clamp(1, self.slots)
     }
 
--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -18,7 +18,7 @@
 use crate::size::CLASSES;
 
 /// Greatest ratio of the engine time that an entry takes to its part of the engines.
-const MAX_EFFICIENCY: f64 = 1.5;
+const MAX_EFFICIENCY: f64 = 4.0;
 
 /// A request whose turn it is.
 #[derive(Clone, Copy, Debug)]
--- a/crates/policy/src/scheduler/hedge.rs
+++ b/crates/policy/src/scheduler/hedge.rs
@@ -72,6 +72,27 @@
         }
     }
 
+    /// Counts the requests at endpoints that have become slow as fallen behind.
+    pub(crate) fn mark_slowed(&mut self) {
+        if !matches!(self.settings.hedge.rule, HedgeRule::Progress(_)) {
+            return;
+        }
+        let bound = self.settings.eject.slow_ratio;
+        if self.endpoints.values().all(|endpoint| endpoint.slow < bound) {
+            return;
+        }
+        for attempt in self.attempts.values() {
+            let slowed = self.endpoints.get(attempt.endpoint).is_some_and(|e| e.slow >= bound);
+            let Some(request) = self.requests.get_mut(attempt.request).filter(|_| slowed) else {
+                continue;
+            };
+            if !request.behind && request.hedges == 0 {
+                request.behind = true;
+                self.behind.push(attempt.request);
+            }
+        }
+    }
+
     /// Starts a second attempt of a request; returns whether it did.
     fn hedge(&mut self, now: Moment, key: RequestKey) -> bool {
         let request = &self.requests[key];
--- a/crates/policy/src/scheduler/observe.rs
+++ b/crates/policy/src/scheduler/observe.rs
@@ -20,6 +20,7 @@
             self.judge_members(now, pool);
             self.reserve_members(pool);
         }
+        self.mark_slowed();
     }
 
     /// Updates the usual pace of a pool: the median over its endpoints.
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -77,7 +77,7 @@
             step_us: 8_000.0,
             sequence_us: 150.0,
             chunk_us: 30_000.0,
-            slots: 32,
+            slots: 16,
             call_slots: 64,
             block_tokens: 4096,
             prefill_window: 60_000.0,
@@ -143,7 +143,7 @@
     fn default() -> Self {
         Self {
             rule: HedgeRule::Progress(3),
-            budget: BudgetSettings { ratio: 0.04, burst: 1.0 },
+            budget: BudgetSettings { ratio: 0.045, burst: 1.5 },
             benefit: 1.5,
         }
     }
