--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -13,6 +13,7 @@
 mod stream_out;
 mod token_times;
 mod worker;
+mod worker_admission;
 mod worker_orders;
 
 pub use api::{EngineShared, engine_handler};
