--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -35,6 +35,6 @@
 pub use members::{Members, Seen};
 pub use orders::{Intent, OrderBook, Progress, Stage, Work};
 pub use peers::dial_targets;
-pub use process::run;
+pub use process::{ControlError, run};
 pub use runs::Runs;
 pub use settings::{Protections, check_settings};
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -74,7 +74,7 @@
 
 /// Names that `own` dials, among `names`, which include it.
 ///
-/// Up to [`FULL_MESH`] instances each dials all others: a process that starts while the platform
+/// Up to `FULL_MESH` instances each dials all others: a process that starts while the platform
 /// is down knows no address, and learns the lists from those that dial it.
 /// Above it the instances form a ring in hash order, and each dials those at distances of powers of
 /// two, so that any message reaches all instances within a number of hops that is logarithmic.
--- a/crates/runtime/src/http.rs
+++ b/crates/runtime/src/http.rs
@@ -1,11 +1,10 @@
 //! HTTP listening and answering over `tiny_http`.
 
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::AsFd;
 use std::time::Duration;
 
-use chunked_transfer::Encoder;
 use serde::Serialize;
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 use tiny_http::{Header, Request, Response, Server};
@@ -70,23 +69,6 @@
     SockRef::from(stream).set_send_buffer_size(bytes)
 }
 
-/// Reads the body of a request, up to `limit` bytes.
-///
-/// # Errors
-///
-/// [`io::ErrorKind::FileTooLarge`] above the limit, else the connection's error.
-pub fn read_body(request: &mut Request, limit: u64) -> io::Result<Vec<u8>> {
-    if request.body_length().is_some_and(|length| length as u64 > limit) {
-        return Err(io::ErrorKind::FileTooLarge.into());
-    }
-    let mut body = Vec::new();
-    request.as_reader().take(limit + 1).read_to_end(&mut body)?;
-    if body.len() as u64 > limit {
-        return Err(io::ErrorKind::FileTooLarge.into());
-    }
-    Ok(body)
-}
-
 /// Answers with a body of the given content type.
 ///
 /// # Errors
@@ -110,54 +92,3 @@
 fn header(name: &str, value: &str) -> Header {
     Header::from_bytes(name, value).expect("names and values of headers are ASCII")
 }
-
-/// Writes a chunked answer piece by piece, flushing after each.
-pub struct StreamWriter {
-    encoder: Option<Encoder<Box<dyn Write + Send>>>,
-}
-
-impl StreamWriter {
-    /// Sends the head of the answer and takes over the connection.
-    ///
-    /// # Errors
-    ///
-    /// The connection's error.
-    pub fn start(request: Request, status: u16, headers: &[(&str, &str)]) -> io::Result<Self> {
-        let mut writer = request.into_writer();
-        write!(
-            writer,
-            "HTTP/1.1 {status} \r\nTransfer-Encoding: chunked\r\nConnection: close\r\n"
-        )?;
-        for (name, value) in headers {
-            write!(writer, "{name}: {value}\r\n")?;
-        }
-        writer.write_all(b"\r\n")?;
-        writer.flush()?;
-        Ok(Self { encoder: Some(Encoder::with_flush_after_write(writer)) })
-    }
-
-    /// Sends one piece as one chunk.
-    ///
-    /// # Errors
-    ///
-    /// The connection's error; the caller has gone.
-    pub fn write_piece(&mut self, piece: &[u8]) -> io::Result<()> {
-        match &mut self.encoder {
-            Some(encoder) => {
-                encoder.write_all(piece)?;
-                encoder.flush()
-            }
-            None => Err(io::ErrorKind::NotConnected.into()),
-        }
-    }
-
-    /// Sends the end mark. A writer that is dropped without it leaves the answer visibly cut.
-    ///
-    /// # Errors
-    ///
-    /// The connection's error.
-    pub fn finish(mut self) -> io::Result<()> {
-        drop(self.encoder.take());
-        Ok(())
-    }
-}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -13,9 +13,7 @@
 
 pub use event::Event;
 pub use event_loop::EventLoop;
-pub use http::{
-    StreamWriter, bind, bound_unsent, configure_stream, listen, read_body, respond, respond_json,
-};
+pub use http::{bind, bound_unsent, configure_stream, listen, respond, respond_json};
 pub use log::open_log;
 pub use metrics::{MetricsHandle, install_metrics};
 pub use shutdown::cancel_on_signal;
