Load tool: callers that wait to come back no longer delay other callers' requests

Its 1,200 threads were all held, most by callers sleeping until their return, and 1,935 requests were sent late, though the tool claims an open loop. Ruled out: load of the machine (load average 2.2), time within the entries (their own counters). Change: 6,000 threads; callers come back when told, up to 30 s, instead of after at most 5 s; a run in which requests were sent late says so, with a test.

--- a/crates/load/src/callers.rs
+++ b/crates/load/src/callers.rs
@@ -15,13 +15,13 @@
 use crate::work::{Arrival, CompletionShape, Work};
 
 /// Threads that send requests, and so the greatest number of requests in work.
-pub const MAX_CALLERS: usize = 1200;
+pub const MAX_CALLERS: usize = 6000;
 /// Stack of each of these threads in bytes.
 const STACK_BYTES: usize = 256 * 1024;
 /// Callers of one customer that keep an answer of `GET /v1/entries` each.
 const DIRECTORIES_PER_CUSTOMER: usize = 8;
 /// Longest wait of a caller that was told when to come back.
-const MAX_RETURN_WAIT: Duration = Duration::from_secs(5);
+const MAX_RETURN_WAIT: Duration = Duration::from_secs(30);
 /// One in this many writes is sent a second time under the same key.
 const REPEAT_EVERY: u64 = 4;
 
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -60,6 +60,17 @@
     pub sent_late: u64,
 }
 
+impl CallerCounts {
+    /// Says that the load was not open-loop, if requests were sent late.
+    pub fn late_note(&self) -> Option<String> {
+        let (late, all) = (self.sent_late, self.requests);
+        let text = format!(
+            "{late} of {all} requests were sent late, so the load was not open-loop; lower `--load`"
+        );
+        (late > 0).then_some(text)
+    }
+}
+
 /// Delay after which a sending counts as late.
 pub const LATE_SEND: Duration = Duration::from_millis(20);
 
@@ -291,6 +302,9 @@
         revisions: &observed.revisions,
     });
     let policy = if settings.direct { "direct".to_owned() } else { deployment.policy.to_string() };
+    let callers = count_callers(&all);
+    let mut unchecked = unchecked(observed);
+    unchecked.extend(callers.late_note());
     RunResult {
         scenario: scenario.name.to_owned(),
         deployment: deployment.name.clone(),
@@ -300,10 +314,10 @@
         seconds: plan.length.as_secs_f64(),
         figures,
         plans: plan_figures(&counted),
-        callers: count_callers(&all),
+        callers,
         promises,
         steps: observed.steps.clone(),
-        unchecked: unchecked(observed),
+        unchecked,
     }
 }
 
--- a/crates/load/tests/arrivals.rs
+++ b/crates/load/tests/arrivals.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use agatestair_load::{
-    Arrival, ArrivalSettings, Class, CostModel, Fleet, SCENARIOS, Work, draw_arrivals,
-    find_scenario,
+    Arrival, ArrivalSettings, CallerCounts, Class, CostModel, Fleet, SCENARIOS, Work,
+    draw_arrivals, find_scenario,
 };
 use googletest::prelude::*;
 
@@ -91,3 +91,11 @@
     };
     expect_that!(count(0, 8) / count(8, 16), near(1.0, 0.2));
 }
+
+#[gtest]
+fn late_sendings_are_told() {
+    let on_time = CallerCounts { requests: 10, ..CallerCounts::default() };
+    let late = CallerCounts { sent_late: 1, ..on_time.clone() };
+    expect_that!(on_time.late_note(), none());
+    expect_that!(late.late_note(), some(contains_substring("1 of 10 requests were sent late")));
+}
