--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -5,7 +5,7 @@
 
 use jsonc_parser::ParseOptions;
 use jsonschema::ValidationError;
-use jsonschema::error::ValidationErrorKind;
+use jsonschema::error::{TypeKind, ValidationErrorKind};
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 
@@ -170,8 +170,8 @@
 fn remedy_of(kind: &ValidationErrorKind) -> String {
     match kind {
         ValidationErrorKind::Required { property } => format!("add the name {property}"),
-        ValidationErrorKind::Type { kind } => {
-            format!("give a value of type {kind:?}").to_lowercase()
+        ValidationErrorKind::Type { kind: TypeKind::Single(kind) } => {
+            format!("give a value of type {kind}")
         }
         ValidationErrorKind::Minimum { limit } => format!("give at least {limit}"),
         ValidationErrorKind::Maximum { limit } => format!("give at most {limit}"),
--- /dev/null
+++ b/crates/settings/tests/examples.rs
@@ -0,0 +1,29 @@
+//! The committed example settings have no faults.
+
+use std::path::Path;
+
+use agatestair_schema::SETTINGS_SCHEMA;
+use agatestair_schema::settings::{ControlSettings, CtlSettings, EntrySettings};
+use agatestair_settings::{Definition, read_file};
+use googletest::prelude::*;
+use serde::de::DeserializeOwned;
+
+/// Deployments with examples.
+const DEPLOYMENTS: [&str; 2] = ["fitline", "lexicon"];
+
+fn check<T: DeserializeOwned>(file: &str, name: &'static str) {
+    let definition = Definition { schema: SETTINGS_SCHEMA, name };
+    for deployment in DEPLOYMENTS {
+        let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+        let path = examples.join(deployment).join(file);
+        let fault = read_file::<T>(&path, definition).map(|_| ()).err();
+        expect_that!(fault, none(), "{deployment}/{file}");
+    }
+}
+
+#[gtest]
+fn example_settings_have_no_faults() {
+    check::<ControlSettings>("control.jsonc", "ControlSettings");
+    check::<CtlSettings>("ctl.jsonc", "CtlSettings");
+    check::<EntrySettings>("entry.jsonc", "EntrySettings");
+}
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -22,7 +22,12 @@
     Case {
         name: "two faults at once",
         text: "{\n  \"platform\": { \"address\": 7, \"timeout_ms\": 1 },\n  \"operator\": \"b\"\n}",
-        expected: &["/platform/address", "/platform/timeout_ms", "give at least 10"],
+        expected: &[
+            "/platform/address",
+            "give a value of type string",
+            "/platform/timeout_ms",
+            "give at least 10",
+        ],
     },
     Case {
         name: "missing name",
