Placement: long reads told at once, draws among equal engines

Cause: on 78 instances others hear of a placement after up to 200 ms, so instances chose the same engine. Ties always went to the first engine: one of 18 got 1103 of 5921 prompts.

Now a prompt of 2,500 tokens and more is told to all others as it is placed and as it is read, and engines that cost no more than the work unseen (4 ms a round) are drawn from.

--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -161,12 +161,12 @@
             !seat.own.is_empty() || seat.cleared.is_some_and(|at| now.since(at) < PEER_LIFETIME)
         };
         let busy = self.seats.values().filter(told);
-        let telling = |seat: &Seat| {
-            let pace = seat.heard.filter(|(_, at)| now.since(*at) < FRESH_PACE);
-            let pace = pace.map(|(pace, at)| (pace, now.since(at)));
-            Telling { endpoint: seat.digest, load: seat.own, pace }
-        };
-        busy.map(telling).collect()
+        busy.map(|seat| telling(seat, now)).collect()
+    }
+
+    /// The same of some endpoints.
+    pub fn tellings_of(&self, keys: &[EndpointKey], now: Moment) -> Vec<Telling> {
+        keys.iter().filter_map(|key| Some(telling(self.seats.get(*key)?, now))).collect()
     }
 
     /// Whether an attempt may still go to an endpoint.
@@ -193,3 +193,9 @@
         self.seats.get_mut(key).is_some_and(|seat| seat.trust.fail(trouble, &settings, now))
     }
 }
+
+fn telling(seat: &Seat, now: Moment) -> Telling {
+    let pace = seat.heard.filter(|(_, at)| now.since(*at) < FRESH_PACE);
+    let pace = pace.map(|(pace, at)| (pace, now.since(at)));
+    Telling { endpoint: seat.digest, load: seat.own, pace }
+}
--- a/crates/policy/src/board/choose.rs
+++ b/crates/policy/src/board/choose.rs
@@ -89,6 +89,10 @@
     pub tried: Vec<EndpointKey>,
     /// Attempts that this instance may have at one endpoint.
     pub share: u32,
+    /// Work that others may have placed since they were last heard, as time at one endpoint.
+    pub unseen: Duration,
+    /// Number from 0 to 1 drawn for the request, which decides between nearly equal endpoints.
+    pub draw: f64,
 }
 
 /// Where an attempt goes.
@@ -163,8 +167,9 @@
             let choice = Choice { key, load, expected, nominal, reads: false, fetch: None };
             (Way { choice, wait: Duration::ZERO, harm: 0.0, cost }, waiting)
         });
-        let best = ways.min_by(|a, b| a.0.cost.total_cmp(&b.0.cost));
-        let Some((way, waiting)) = best else { return Err(no_endpoint()) };
+        let (ways, loads): (Vec<Way>, Vec<f64>) = ways.unzip();
+        let Some(index) = pick(&ways, 0.0, wanted.draw) else { return Err(no_endpoint()) };
+        let (way, waiting) = (ways[index], loads[index]);
         if waiting > PLAIN_QUEUE + 1.0 {
             return Err(too_late(PLAIN_HOLD.mul_f64(waiting)));
         }
@@ -424,27 +429,34 @@
 
 /// The cheapest of the ways that are in time.
 fn within(ways: impl Iterator<Item = Way>, wanted: &Wanted) -> Result<Choice, Denial> {
-    let mut best: Option<Way> = None;
+    let mut open: Vec<Way> = Vec::new();
     let mut earliest: Option<Duration> = None;
     for way in ways {
         let expected = way.choice.expected;
         earliest = Some(earliest.map_or(expected, |known| known.min(expected)));
         let in_time = expected <= wanted.aim || way.wait <= wanted.slack;
-        if in_time
-            && way.harm <= MAX_HARM_MS
-            && expected <= wanted.limit
-            && best.is_none_or(|best| way.cost < best.cost)
-        {
-            best = Some(way);
+        if in_time && way.harm <= MAX_HARM_MS && expected <= wanted.limit {
+            open.push(way);
         }
     }
-    match (best, earliest) {
-        (Some(way), _) => Ok(way.choice),
+    match (pick(&open, as_ms(wanted.unseen), wanted.draw), earliest) {
+        (Some(index), _) => Ok(open[index].choice),
         (None, Some(earliest)) => Err(too_late(earliest.saturating_sub(wanted.aim))),
         (None, None) => Err(no_endpoint()),
     }
 }
 
+/// Index of a way drawn from those that cost hardly more than the cheapest one.
+///
+/// Instances that do not know of each other's choices yet would all take the very cheapest, and
+/// queue there while its equals stay idle.
+fn pick(ways: &[Way], spread: f64, draw: f64) -> Option<usize> {
+    let least = ways.iter().map(|way| way.cost).min_by(f64::total_cmp)?;
+    let near: Vec<usize> =
+        (0..ways.len()).filter(|index| ways[*index].cost <= least + spread).collect();
+    near.get((draw * near.len() as f64) as usize).or(near.last()).copied()
+}
+
 fn no_endpoint() -> Denial {
     Denial { cause: DenialCause::NoEndpoint, back: Duration::from_secs(1) }
 }
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -7,6 +7,7 @@
 use agatestair_policy::EndpointKey;
 use agatestair_policy::board::{Denial, DenialCause, Trouble, Wanted};
 use agatestair_runtime::log_event;
+use rand::Rng;
 use tokio::time::Instant;
 
 use crate::answer::{DEFAULT_BACK, Failure, not_run};
@@ -71,6 +72,7 @@
             aim: self.left(),
             slack: self.left(),
             tried: self.tried.clone(),
+            draw: rand::rng().random(),
             ..Wanted::default()
         }
     }
--- a/crates/serve/src/front.rs
+++ b/crates/serve/src/front.rs
@@ -25,6 +25,7 @@
 use crate::events::{ACCEPT_FAILED, CONNECTION_FAILED};
 use crate::hub::Hub;
 use crate::listen::configure;
+use crate::news::News;
 use crate::pool::Pool;
 use crate::store::StoreClient;
 
@@ -57,6 +58,8 @@
     pub metrics: MetricsHandle,
     /// Log.
     pub log: Logger,
+    /// Loads that others are told of at once.
+    pub news: News,
     /// Another instance has a newer configuration.
     pub behind: Notify,
     /// Cancelled when the instance is about to stop.
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -21,6 +21,10 @@
 /// Instances beside the known ones that may appear at any time, as a share of these.
 const SPARE_SHARE: usize = 3;
 
+/// Work that others place at one endpoint between two of their datagrams: 383 tokens of a short
+/// prompt at 93 a millisecond.
+const UNSEEN_WORK: Duration = Duration::from_millis(4);
+
 /// Parts of prompts that wait to be told to other instances at most.
 const MAX_READS: usize = 256;
 
@@ -220,6 +224,7 @@
         let mut wanted = wanted.clone();
         wanted.domain = self.settings.own.domain.clone();
         wanted.share = self.connection_share(connections, now);
+        wanted.unseen = self.unseen();
         let choice = match search {
             Search::Plain => self.board.choose_plain(&wanted, now),
             Search::Run { split } => self.board.choose_run(&wanted, split, now),
@@ -231,6 +236,13 @@
         Ok(self.take(choice, now))
     }
 
+    /// Work that others may have placed at one endpoint since they were last heard.
+    fn unseen(&self) -> Duration {
+        let groups = [true, false].map(|near| self.members.group(&self.settings.own.domain, near));
+        let rounds = groups.iter().map(|group| group.period).max().unwrap_or(1);
+        UNSEEN_WORK * u32::try_from(rounds).unwrap_or(u32::MAX)
+    }
+
     /// Remembers that an endpoint gets a prompt, and has the other instances told.
     fn note_read(&mut self, key: EndpointKey, parts: &[Part], now: Moment) {
         self.board.note_read(key, parts, now);
--- a/crates/serve/src/pulse.rs
+++ b/crates/serve/src/pulse.rs
@@ -7,12 +7,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use agatestair_policy::EndpointKey;
 use agatestair_policy::assign::digest;
 use agatestair_policy::board::{Load, Part, Telling};
 use agatestair_runtime::log_event;
 use bincode::{Decode, Encode};
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::dialect::WireFault;
 use crate::events::{MEMBER_CHANGED, PULSE_MALFORMED, PULSE_UNSENT};
@@ -161,10 +162,26 @@
             send_round(&front, &socket, group == 0, told, round).await;
         }
         round += 1;
-        sleep(BUSY_INTERVAL).await;
+        let next = Instant::now() + BUSY_INTERVAL;
+        while let Ok(keys) = timeout_at(next, front.news.next()).await {
+            send_news(&front, &socket, &keys, round).await;
+        }
     }
 }
 
+/// Tells all others of the loads of some endpoints.
+async fn send_news(front: &Front, socket: &UdpSocket, keys: &[EndpointKey], round: u64) {
+    let keys = keys.to_vec();
+    let (pulse, audience) = front.hub.ask(move |node, now| {
+        let (own, state) = node.own();
+        let groups = [true, false].map(|near| node.members.group(&own.domain, near));
+        let audience = groups.iter().flat_map(|group| group.audience(round, now));
+        let loads = node.board.tellings_of(&keys, now);
+        (compose(&own, state, node.version(), loads, &[]), audience.collect::<Vec<_>>())
+    });
+    send_one(front, socket, &pulse, &audience).await;
+}
+
 /// Sends a group its datagram if it is due and says something new.
 async fn send_round(front: &Front, socket: &UdpSocket, near: bool, told: &mut Told, round: u64) {
     let due = front.hub.ask(move |node, now| {
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -27,6 +27,7 @@
 use crate::learn::learn_caches;
 use crate::listen::listen;
 use crate::members::Member;
+use crate::news::News;
 use crate::node::NodeSettings;
 use crate::pool::Pool;
 use crate::pulse::{receive_pulses, send_pulses};
@@ -133,6 +134,7 @@
         settings: RefCell::new(Rc::new(settings)),
         metrics,
         log,
+        news: News::default(),
         behind: Notify::new(),
         leaving: CancellationToken::new(),
         closing: CancellationToken::new(),
--- a/crates/serve/src/ticket.rs
+++ b/crates/serve/src/ticket.rs
@@ -21,6 +21,7 @@
 impl Ticket {
     /// Takes over the count that the choice of the place made.
     pub fn new(front: Rc<Front>, place: Place) -> Self {
+        front.news.note(place.key, place.load.unread);
         Self { load: place.load, place, front, begun: Instant::now() }
     }
 
@@ -39,6 +40,7 @@
             node.board.finish(key, unread, now);
             node.board.note_success(key, ratio, now);
         });
+        self.front.news.note(key, unread.unread);
     }
 
     /// The whole run is done, in a number of events.
@@ -62,5 +64,6 @@
     fn drop(&mut self) {
         let (key, load) = (self.place.key, self.load);
         self.front.hub.ask(move |node, now| node.board.finish(key, load, now));
+        self.front.news.note(key, load.unread);
     }
 }
--- a/crates/serve/tests/parts.rs
+++ b/crates/serve/tests/parts.rs
@@ -1,13 +1,15 @@
 //! The core's parts on their own: streams, routes, the directory, lapsed entries, datagrams.
 
+use std::future::Future;
 use std::sync::Arc;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
-use agatestair_policy::Moment;
 use agatestair_policy::board::{Board, BoardSettings, SeatFacts};
+use agatestair_policy::{EndpointKey, Moment};
 use agatestair_serve::{
     Configuration, EndpointRecord, EventSplitter, Fleet, Kind, Limits, Member, MemberState,
-    Members, Pulse, PulseLoad, Route, Service, Target, explain,
+    Members, News, Pulse, PulseLoad, Route, Service, Target, explain,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -358,6 +360,34 @@
     }
 }
 
+/// A change of an endpoint's load and whether others are told of it at once.
+struct NewsCase {
+    name: &'static str,
+    tokens: u32,
+    told: bool,
+}
+
+#[gtest]
+fn others_are_told_of_long_prompts_at_once() {
+    let cases = [
+        NewsCase { name: "plain call", tokens: 0, told: false },
+        NewsCase { name: "short prompt", tokens: 383, told: false },
+        NewsCase { name: "long prompt", tokens: 17_020, told: true },
+    ];
+    for case in cases {
+        let news = News::default();
+        let key = EndpointKey::default();
+        news.note(key, case.tokens);
+        let mut next = std::pin::pin!(news.next());
+        let mut context = Context::from_waker(Waker::noop());
+        let told = match next.as_mut().poll(&mut context) {
+            Poll::Ready(keys) => keys == [key],
+            Poll::Pending => false,
+        };
+        expect_that!(told, eq(case.told), "{}", case.name);
+    }
+}
+
 #[gtest]
 fn datagrams_keep_what_they_say() {
     let bytes = pulse().encode().expect("it fits");
