--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -128,6 +128,7 @@
         log_event!(self.front.log, PLACED, "request" => self.passed.id.as_deref(),
             "endpoint" => &*place.name, "search" => search.label(), "reads" => place.reads, "busy" => place.busy,
             "expected_ms" => place.expected.as_millis() as u64, "version" => self.version,
+            "unread" => place.load.unread,
             "fetch" => place.fetch.map(|address| address.to_string()),
             "left_ms" => self.left().as_millis() as u64, "sends" => self.sends);
     }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -50,6 +50,6 @@
 pub use node::{Node, NodeSettings};
 pub use pulse::{Pulse, PulseLoad};
 pub use reload::Reload;
-pub use run::{Parts, ServeError, run};
+pub use run::{Parts, Process, ServeError};
 pub use store::{Changes, LocalFuture, Row, RowKey, StoreClient, StoreFault, Table, Transaction};
 pub use stream::EventSplitter;
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -14,7 +14,8 @@
 use error_stack::{Report, ResultExt};
 use slog::Logger;
 use tokio::net::UdpSocket;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::runtime::Runtime;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
@@ -107,23 +108,52 @@
     pub buffer: LogBuffer,
 }
 
-/// Runs an instance until it is asked to stop and its requests are done.
-///
-/// # Errors
-///
-/// [`ServeError`] if it cannot start.
-pub fn run(parts: Parts) -> Result<(), Report<ServeError>> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.change_context(ServeError::Resources)?;
-    let tasks = tokio::task::LocalSet::new();
-    tasks.block_on(&runtime, serve(parts))
+/// The process that an instance runs in.
+pub struct Process {
+    runtime: Runtime,
+    signals: Signals,
 }
 
-async fn serve(parts: Parts) -> Result<(), Report<ServeError>> {
+struct Signals {
+    stop: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Process {
+    /// Takes over the process's signals, before anything that takes time: until then they end it.
+    ///
+    /// # Errors
+    ///
+    /// [`ServeError::Resources`].
+    pub fn start() -> Result<Self, Report<ServeError>> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.change_context(ServeError::Resources)?;
+        let entered = runtime.enter();
+        let take = |kind| signal(kind).change_context(ServeError::Resources);
+        let signals = Signals {
+            stop: take(SignalKind::terminate())?,
+            interrupt: take(SignalKind::interrupt())?,
+            hangup: take(SignalKind::hangup())?,
+        };
+        drop(entered);
+        Ok(Self { runtime, signals })
+    }
+
+    /// Runs an instance until it is asked to stop and its requests are done.
+    ///
+    /// # Errors
+    ///
+    /// [`ServeError`] if it cannot start.
+    pub fn run(self, parts: Parts) -> Result<(), Report<ServeError>> {
+        let tasks = tokio::task::LocalSet::new();
+        tasks.block_on(&self.runtime, serve(parts, self.signals))
+    }
+}
+
+async fn serve(parts: Parts, signals: Signals) -> Result<(), Report<ServeError>> {
     let Parts { settings, dialect, store, reload, metrics, log, buffer } = parts;
-    let mut stop = signal(SignalKind::terminate()).change_context(ServeError::Resources)?;
-    let mut interrupt = signal(SignalKind::interrupt()).change_context(ServeError::Resources)?;
-    let hangup = signal(SignalKind::hangup()).change_context(ServeError::Resources)?;
+    let Signals { mut stop, mut interrupt, hangup } = signals;
     let own = own_member(&settings)?;
     let listen_on = settings.listen.clone();
     let front = Rc::new(Front {
--- a/crates/testbed/src/child.rs
+++ b/crates/testbed/src/child.rs
@@ -28,6 +28,8 @@
     pub args: Vec<String>,
     /// Folder of the log file.
     pub folder: PathBuf,
+    /// Whether the standard output goes to the log file too.
+    pub logs_output: bool,
 }
 
 /// A running process; dropping it kills it.
@@ -50,10 +52,13 @@
         let path = log_path(&command);
         let log = File::options().create(true).append(true).open(&path);
         let log = log.map_err(|cause| TestbedError::io(path.display().to_string(), cause))?;
+        let output =
+            if command.logs_output { log.try_clone().map(Stdio::from) } else { Ok(Stdio::null()) };
+        let output = output.map_err(|cause| TestbedError::io(path.display().to_string(), cause))?;
         let child = Command::new(&command.program)
             .args(&command.args)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(output)
             .stderr(log)
             .spawn()
             .map_err(|cause| TestbedError::io(command.program.display().to_string(), cause))?;
--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -412,6 +412,7 @@
         program: binary_folder()?.join(binary),
         args,
         folder: folder.to_owned(),
+        logs_output: false,
     })
 }
 
