--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -156,9 +156,11 @@
     }
 
     /// This instance's own loads and what it last heard of paces, for other instances.
-    pub fn tellings(&self, now: Moment) -> Vec<Telling> {
+    ///
+    /// Loads that ended within `cleared` are among them, since a datagram that says so may be lost.
+    pub fn tellings(&self, cleared: Duration, now: Moment) -> Vec<Telling> {
         let told = |seat: &&Seat| {
-            !seat.own.is_empty() || seat.cleared.is_some_and(|at| now.since(at) < PEER_LIFETIME)
+            !seat.own.is_empty() || seat.cleared.is_some_and(|at| now.since(at) < cleared)
         };
         let busy = self.seats.values().filter(told);
         busy.map(|seat| telling(seat, now)).collect()
--- a/crates/policy/tests/herd.rs
+++ b/crates/policy/tests/herd.rs
@@ -18,6 +18,9 @@
 const WRITERS: usize = 35;
 const ROUND_MS: f64 = 200.0;
 
+/// Time for which others are told that a load is gone: three rounds.
+const CLEARED: Duration = Duration::from_millis(600);
+
 /// Time after which another instance has a datagram.
 const TRANSIT_MS: f64 = 1.0;
 
@@ -187,7 +190,7 @@
     /// The next instance in turn tells all others its loads.
     fn tell_all(&mut self, now: f64) {
         let from = (now / (ROUND_MS / INSTANCES as f64)).round() as usize % INSTANCES;
-        let tellings = self.boards[from].tellings(moment(now));
+        let tellings = self.boards[from].tellings(CLEARED, moment(now));
         self.hear(from, &tellings, now);
     }
 
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -165,6 +165,22 @@
     expect_that!(board.choose_plain(&ask(), later).map(|c| c.key), ok(eq(one)));
 }
 
+#[gtest]
+fn loads_that_are_gone_are_told_for_a_while() {
+    let cleared = Duration::from_millis(600);
+    let mut board = Board::new(BoardSettings::default());
+    let key = board.upsert(seat("one", None));
+    expect_that!(board.tellings(cleared, now()), is_empty());
+    let load = Load { attempts: 1, ..Load::default() };
+    board.start(key, load);
+    board.finish(key, load, now());
+    for (age_ms, told) in [(0, 1), (599, 1), (601, 0)] {
+        let tellings = board.tellings(cleared, now() + Duration::from_millis(age_ms));
+        expect_that!(tellings.len(), eq(told), "{age_ms} ms later");
+        expect_that!(tellings.iter().all(|telling| telling.load.is_empty()), eq(true));
+    }
+}
+
 #[gtest]
 fn a_slowed_engine_is_avoided_on_another_instances_word() {
     let mut board = Board::new(BoardSettings::default());
--- a/crates/serve/src/pulse.rs
+++ b/crates/serve/src/pulse.rs
@@ -26,6 +26,15 @@
 /// Datagram rounds without news after which one is sent all the same.
 const QUIET_ROUNDS: u64 = 12;
 
+/// Datagrams that tell of a part of a prompt, since some are lost.
+const READ_ROUNDS: u32 = 2;
+
+/// Datagrams that tell that a load is gone; without them others count it for `PEER_LIFETIME`.
+const CLEARED_ROUNDS: u32 = 3;
+
+/// Shortest time for which that is told: longer than a burst in which all datagrams are lost.
+const CLEARED_TIME: Duration = Duration::from_millis(600);
+
 /// Greatest size of a datagram in bytes.
 const MAX_BYTES: usize = 8 * 1024;
 
@@ -190,10 +199,11 @@
         if !round.is_multiple_of(group.period) {
             return None;
         }
-        // Long enough for two datagrams, since some are lost.
-        let within = BUSY_INTERVAL * u32::try_from(2 * group.period).unwrap_or(u32::MAX);
-        let reads = node.tell_reads(within, now);
-        let pulse = compose(&own, state, node.version(), node.board.tellings(now), &reads);
+        let interval = BUSY_INTERVAL * u32::try_from(group.period).unwrap_or(u32::MAX);
+        let reads = node.tell_reads(interval * READ_ROUNDS, now);
+        let cleared = (interval * CLEARED_ROUNDS).max(CLEARED_TIME);
+        let loads = node.board.tellings(cleared, now);
+        let pulse = compose(&own, state, node.version(), loads, &reads);
         Some((pulse, group.audience(round, now), group.period))
     });
     let Some((pulse, audience, period)) = due else { return };
