Serve: facts that nobody uses are gone, one way to ask an engine once

EndpointRecord held only SeatFacts then and is gone. free and learn build their calls in line::ask_once. Whether engines have stages is asked as the place is chosen, not in a second question to the actor.

--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -15,7 +15,7 @@
 pub use choose::{Choice, Denial, DenialCause, Part, Wanted};
 pub use cost::EngineCosts;
 pub use load::{Load, PEER_LIFETIME, PeerLoads};
-pub use seat::{Report, Seat, SeatFacts, Stage};
+pub use seat::{Seat, SeatFacts, Stage};
 pub use trust::{Trouble, Trust, TrustSettings};
 
 use std::collections::HashMap;
--- a/crates/policy/src/board/seat.rs
+++ b/crates/policy/src/board/seat.rs
@@ -38,23 +38,10 @@
     pub leaving: bool,
     /// Its stage, if it is an engine of a split fleet.
     pub stage: Option<Stage>,
-    /// Orders that it has accepted.
-    pub orders: u64,
     /// Start of its process, Unix milliseconds; 0 if unknown.
     pub born: u64,
 }
 
-/// An endpoint's own word on its load, from the head of one of its answers.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Report {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// How long work takes against what is usual, 1 is usual.
-    pub pace: f64,
-}
-
 /// One endpoint with what this instance observed of it.
 #[derive(Clone, Debug)]
 pub struct Seat {
@@ -98,11 +85,11 @@
         self.own + self.peers.sum(now)
     }
 
-    /// Takes over the endpoint's report on its load.
-    pub fn note_report(&mut self, report: Report, now: Moment) {
-        if report.pace > 0.0 {
-            self.heard = Some((report.pace, now));
-            self.note_pace(report.pace, now);
+    /// Takes over the endpoint's own word on its pace: how long work takes, 1 is usual.
+    pub fn hear_pace(&mut self, pace: f64, now: Moment) {
+        if pace > 0.0 {
+            self.heard = Some((pace, now));
+            self.note_pace(pace, now);
         }
     }
 
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -201,7 +201,6 @@
                 slots: SLOTS,
                 leaving: false,
                 stage: Some(if index < prefill { Stage::Prefill } else { Stage::Decode }),
-                orders: 0,
                 born: 1,
             })
         });
--- a/crates/policy/tests/herd.rs
+++ b/crates/policy/tests/herd.rs
@@ -213,7 +213,6 @@
         slots: 12,
         leaving: false,
         stage: Some(if index < READERS { Stage::Prefill } else { Stage::Decode }),
-        orders: 0,
         born: 1,
     }
 }
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -101,7 +101,6 @@
         slots: 4,
         leaving: false,
         stage,
-        orders: 0,
         born: 1,
     }
 }
@@ -143,7 +142,7 @@
     let mut board = Board::new(BoardSettings::default());
     let former = board.upsert(seat("one", None));
     board.start(former, Load { attempts: 3, ..Load::default() });
-    let same = board.upsert(SeatFacts { orders: 2, ..seat("one", None) });
+    let same = board.upsert(SeatFacts { leaving: true, ..seat("one", None) });
     expect_that!(same, eq(former));
     let next = board.upsert(SeatFacts { born: 2, ..seat("one", None) });
     expect_that!(next, not(eq(former)));
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -82,13 +82,6 @@
         self.limit.saturating_duration_since(Instant::now())
     }
 
-    /// The search for where a run begins: engines without stages are placed like plain services.
-    pub fn run_search(&self, split: bool) -> Search {
-        let service = self.service.name.clone();
-        let staged = self.front.hub.ask(move |node, _| node.has_stages(&service));
-        if staged { Search::Run { split } } else { Search::Plain }
-    }
-
     /// Chooses an endpoint and counts the attempt there.
     ///
     /// # Errors
--- a/crates/serve/src/configuration.rs
+++ b/crates/serve/src/configuration.rs
@@ -82,8 +82,6 @@
 /// What model engines of a service can do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EngineFacts {
-    /// Requests in one batch.
-    pub slots: u32,
     /// Tokens that the memory holds.
     pub memory: u32,
     /// Bytes of a token's memory.
@@ -92,10 +90,6 @@
     pub link_mbps: f64,
     /// Tokens of one event.
     pub stride: u32,
-    /// Lifetime of a prompt that was read for another engine.
-    pub handle: Duration,
-    /// Time that an engine needs to change its stage.
-    pub change: Duration,
 }
 
 impl EngineFacts {
--- a/crates/serve/src/dialect.rs
+++ b/crates/serve/src/dialect.rs
@@ -5,11 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agatestair_policy::board::{Part, Report};
+use agatestair_policy::board::{Part, SeatFacts};
 use http::{HeaderMap, Method};
 
 use crate::configuration::Configuration;
-use crate::fleet::EndpointRecord;
 
 /// Something on the wire that cannot be understood.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -97,8 +96,8 @@
     pub not_run: bool,
     /// Whether the endpoint has signed the answer.
     pub signed: bool,
-    /// The endpoint's load.
-    pub report: Option<Report>,
+    /// The endpoint's word on its pace: how long work takes, 1 is usual.
+    pub pace: Option<f64>,
     /// Time for which the endpoint keeps an idle connection, if it is told.
     pub idle: Option<Duration>,
 }
@@ -154,7 +153,7 @@
     /// Reads the operators' configuration.
     pub read_configuration: fn(&[u8]) -> Result<Configuration, WireFault>,
     /// Reads what the platform says of the endpoint with a name.
-    pub read_endpoint: fn(&str, &[u8]) -> Result<EndpointRecord, WireFault>,
+    pub read_endpoint: fn(&str, &[u8]) -> Result<SeatFacts, WireFault>,
     /// Reads the query of a question to the directory.
     pub read_asker: fn(&str) -> Asker,
     /// Writes the directory's answer: addresses and their lifetime.
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -11,15 +11,6 @@
 /// entries that lapsed while it was away are written again within about two seconds.
 pub const RETURN_GRACE: Duration = Duration::from_secs(2);
 
-/// An entry of the store for one endpoint.
-#[derive(Clone, Debug, PartialEq)]
-pub struct EndpointRecord {
-    /// What placement needs to know.
-    pub facts: SeatFacts,
-    /// How much longer the endpoint is slow after its start.
-    pub warming: Duration,
-}
-
 /// Follows the store's list of endpoints onto the board.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -46,9 +37,9 @@
     }
 
     /// Takes over an entry.
-    pub fn upsert(&mut self, board: &mut Board, record: EndpointRecord) -> EndpointKey {
-        self.lapsed.remove(&record.facts.name);
-        board.upsert(record.facts)
+    pub fn upsert(&mut self, board: &mut Board, facts: SeatFacts) -> EndpointKey {
+        self.lapsed.remove(&facts.name);
+        board.upsert(facts)
     }
 
     /// The store no longer lists an endpoint; returns whether it is gone at once.
--- a/crates/serve/src/learn.rs
+++ b/crates/serve/src/learn.rs
@@ -9,13 +9,12 @@
 use agatestair_policy::EndpointKey;
 use agatestair_policy::board::{Seat, Stage};
 use agatestair_runtime::log_event;
-use http_body_util::Full;
 use rand::Rng;
 use tokio::time::sleep;
 
 use crate::events::{CACHE_LEARNED, CACHE_UNKNOWN};
 use crate::front::Front;
-use crate::line::{LineSettings, exchange};
+use crate::line::ask_once;
 
 /// Time between two looks whether endpoints are known.
 const LOOK: Duration = Duration::from_millis(50);
@@ -61,13 +60,7 @@
     address: std::net::SocketAddr,
 ) -> Result<usize, String> {
     let call = (front.dialect.list_cache)();
-    let mut request = http::Request::new(Full::new(call.body.into()));
-    *request.method_mut() = call.method;
-    *request.headers_mut() = call.headers;
-    *request.uri_mut() = call.path.parse().map_err(|_| "malformed path".to_owned())?;
-    let settings = LineSettings::default();
-    let answer =
-        exchange(&mut None, address, &settings, request, ANSWER_TIME, MAX_ANSWER_BYTES).await?;
+    let answer = ask_once(call, address, ANSWER_TIME, MAX_ANSWER_BYTES).await?;
     if !answer.status().is_success() {
         return Err(format!("status {}", answer.status().as_u16()));
     }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -42,7 +42,7 @@
     WireFault,
 };
 pub use explain::explain;
-pub use fleet::{EndpointRecord, Fleet};
+pub use fleet::Fleet;
 pub use hub::Hub;
 pub use line::{Line, LineFault, LineSettings, exchange};
 pub use members::{Group, Member, MemberState, Members};
--- a/crates/serve/src/line.rs
+++ b/crates/serve/src/line.rs
@@ -14,6 +14,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::dialect::WireCall;
 use crate::listen::configure;
 
 /// Greatest size of an answer's head in bytes.
@@ -170,3 +171,21 @@
     *line = Some(open);
     Ok(answer)
 }
+
+/// Sends one call of an adapter on a connection of its own, and reads the whole answer.
+///
+/// # Errors
+///
+/// What went wrong, in words.
+pub async fn ask_once(
+    call: WireCall,
+    address: SocketAddr,
+    limit: Duration,
+    max_bytes: usize,
+) -> Result<Response<Bytes>, String> {
+    let mut request = Request::new(Full::new(Bytes::from(call.body)));
+    *request.method_mut() = call.method;
+    *request.headers_mut() = call.headers;
+    *request.uri_mut() = call.path.parse().map_err(|_| format!("malformed path {}", call.path))?;
+    exchange(&mut None, address, &LineSettings::default(), request, limit, max_bytes).await
+}
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use agatestair_policy::board::{
-    Board, BoardSettings, Choice, Denial, Load, Part, Report, Stage, Wanted,
+    Board, BoardSettings, Choice, Denial, Load, Part, SeatFacts, Stage, Wanted,
 };
 use agatestair_policy::{EndpointKey, Moment, RetryBudget, RetrySettings};
 use stakker::CX;
 
 use crate::configuration::{Configuration, Limits, Match};
-use crate::fleet::{EndpointRecord, Fleet};
+use crate::fleet::Fleet;
 use crate::members::{Member, MemberState, Members};
 
 /// Instances that the retry budget is shared by while fewer are known.
@@ -227,6 +227,10 @@
         wanted.unseen = self.unseen();
         let choice = match search {
             Search::Plain => self.board.choose_plain(&wanted, now),
+            // Engines without stages are placed like plain services.
+            Search::Run { .. } if !self.board.has_stage(&wanted.service, Stage::Decode) => {
+                self.board.choose_plain(&wanted, now)
+            }
             Search::Run { split } => self.board.choose_run(&wanted, split, now),
             Search::Generate(source) => self.board.choose_decode(&wanted, source, now),
         }?;
@@ -287,11 +291,6 @@
         place
     }
 
-    /// Whether a service's engines have stages.
-    pub fn has_stages(&self, service: &str) -> bool {
-        self.board.has_stage(service, Stage::Decode)
-    }
-
     /// Connections that this instance may have at one endpoint.
     fn connection_share(&self, connections: u32, now: Moment) -> u32 {
         let sharers = u32::try_from(self.sharers(now)).unwrap_or(u32::MAX);
@@ -321,16 +320,16 @@
         RetrySettings { slack, ..self.settings.retry }
     }
 
-    /// Takes over an endpoint's report on its load.
-    pub fn note_report(&mut self, key: EndpointKey, report: Report, now: Moment) {
+    /// Takes over an endpoint's own word on its pace.
+    pub fn hear_pace(&mut self, key: EndpointKey, pace: f64, now: Moment) {
         if let Some(seat) = self.board.seats.get_mut(key) {
-            seat.note_report(report, now);
+            seat.hear_pace(pace, now);
         }
     }
 
     /// Takes over an entry of the store's list of endpoints.
-    pub fn note_endpoint(&mut self, record: EndpointRecord) -> EndpointKey {
-        self.fleet.upsert(&mut self.board, record)
+    pub fn note_endpoint(&mut self, facts: SeatFacts) -> EndpointKey {
+        self.fleet.upsert(&mut self.board, facts)
     }
 
     /// The store no longer lists an endpoint; returns whether it is gone at once.
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -15,6 +15,7 @@
 use crate::dialect::Phase;
 use crate::events::{ATTEMPT_FAILED, RESUMED, STREAMED};
 use crate::line::Line;
+use crate::node::Search;
 use crate::send::{Reply, Sent};
 use crate::stream::EventSplitter;
 use crate::ticket::Ticket;
@@ -151,7 +152,7 @@
 
 /// Begins a further run after the last whole event.
 async fn resume(call: &mut Call, events: &EventSplitter) -> Result<Run, Option<()>> {
-    let mut ticket = call.place(call.run_search(false)).map_err(|_| Some(()))?;
+    let mut ticket = call.place(Search::Run { split: false }).map_err(|_| Some(()))?;
     let last = events.last.clone();
     let limit = call.limit;
     let sent = timeout_at(limit, call.send(&ticket, Phase::Whole, last.as_deref())).await;
--- a/crates/serve/src/send.rs
+++ b/crates/serve/src/send.rs
@@ -97,9 +97,9 @@
     {
         return Sent::Unknown("the answer belongs to another request".to_owned());
     }
-    if let Some(report) = facts.report {
+    if let Some(pace) = facts.pace {
         let key = place.key;
-        front.hub.ask(move |node, now| node.note_report(key, report, now));
+        front.hub.ask(move |node, now| node.hear_pace(key, pace, now));
     }
     if facts.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
         keep_after_refusal(front, place, line, body).await;
--- a/crates/serve/src/split.rs
+++ b/crates/serve/src/split.rs
@@ -8,7 +8,7 @@
 use agatestair_policy::board::Trouble;
 use agatestair_runtime::log_event;
 use http::Response;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{Failure, not_run, respond};
@@ -17,7 +17,7 @@
 use crate::dialect::{HandleName, Phase};
 use crate::events::HANDLE_KEPT;
 use crate::front::Front;
-use crate::line::{Line, LineSettings, exchange};
+use crate::line::ask_once;
 use crate::node::Search;
 use crate::relay::relay;
 use crate::send::{Reply, Sent};
@@ -55,17 +55,7 @@
 
 async fn free(front: Rc<Front>, address: SocketAddr, name: HandleName) {
     let call = (front.dialect.free_handle)(&name);
-    let mut request = http::Request::new(Full::new(call.body.into()));
-    *request.method_mut() = call.method;
-    *request.headers_mut() = call.headers;
-    match call.path.parse() {
-        Ok(path) => *request.uri_mut() = path,
-        Err(_) => return log_event!(front.log, HANDLE_KEPT, "handle" => &*name),
-    }
-    let settings = LineSettings::default();
-    let mut line: Option<Line> = None;
-    let freed = exchange(&mut line, address, &settings, request, FREE_TIME, MAX_HANDLE_BYTES).await;
-    if let Err(error) = freed {
+    if let Err(error) = ask_once(call, address, FREE_TIME, MAX_HANDLE_BYTES).await {
         log_event!(front.log, HANDLE_KEPT, "handle" => &*name, "error" => error);
     }
 }
@@ -81,7 +71,7 @@
     loop {
         let search = match &handle {
             Some(handle) => Search::Generate(handle.source),
-            None => call.run_search(split),
+            None => Search::Run { split },
         };
         let mut ticket = call.place(search).map_err(|denial| call.denied(&denial))?;
         if ticket.place.reads {
--- a/crates/serve/src/watch.rs
+++ b/crates/serve/src/watch.rs
@@ -167,9 +167,9 @@
 
 fn note_endpoint(front: &Front, name: &Arc<str>, value: &[u8]) {
     match (front.dialect.read_endpoint)(name, value) {
-        Ok(record) => {
-            let facts = record.facts.clone();
-            front.hub.ask(move |node, _| node.note_endpoint(record));
+        Ok(facts) => {
+            let noted = facts.clone();
+            front.hub.ask(move |node, _| node.note_endpoint(noted));
             log_event!(front.log, ENDPOINT_CHANGED, "endpoint" => &**name,
                 "service" => &*facts.service, "leaving" => facts.leaving,
                 "stage" => format!("{:?}", facts.stage), "address" => facts.address.to_string());
--- a/crates/serve/tests/parts.rs
+++ b/crates/serve/tests/parts.rs
@@ -8,8 +8,8 @@
 use agatestair_policy::board::{Board, BoardSettings, SeatFacts};
 use agatestair_policy::{EndpointKey, Moment};
 use agatestair_serve::{
-    Configuration, EndpointRecord, EventSplitter, Fleet, Kind, Limits, Member, MemberState,
-    Members, News, Pulse, PulseLoad, Route, Service, Target, explain,
+    Configuration, EventSplitter, Fleet, Kind, Limits, Member, MemberState, Members, News, Pulse,
+    PulseLoad, Route, Service, Target, explain,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -125,8 +125,8 @@
     expect_that!((count("s"), count("t"), count("u")), eq((900, 100, 0)));
 }
 
-fn record(name: &str, leaving: bool) -> EndpointRecord {
-    let facts = SeatFacts {
+fn record(name: &str, leaving: bool) -> SeatFacts {
+    SeatFacts {
         name: name.into(),
         service: "s".into(),
         address: ([127, 0, 0, 1], 80).into(),
@@ -134,10 +134,8 @@
         slots: 1,
         leaving,
         stage: None,
-        orders: 0,
         born: 1,
-    };
-    EndpointRecord { facts, warming: Duration::ZERO }
+    }
 }
 
 /// What happens to the store and to an entry, and whether its endpoint is still in use afterwards.
