Split runs: a prompt that an engine does not read goes to another in time

Cause: reading a prompt had the whole time of the request. The test with a silent engine got 503 after three seconds, now 200.

The read is given up after three times the expected time, twice the objective at least, and the engine that answers reads the prompt itself, within the budget.

--- a/crates/serve/src/split.rs
+++ b/crates/serve/src/split.rs
@@ -30,6 +30,10 @@
 /// up for another engine.
 const PATIENCE_FACTOR: f64 = 3.0;
 
+/// Times the objective that reading a prompt may take at least before it is given up: the answer is
+/// late by then, and an engine that is merely busy has mostly read it.
+const READ_PATIENCE: f64 = 2.0;
+
 /// Time after which a request comes back whose prompt was not read.
 const BACK: Duration = Duration::from_millis(500);
 
@@ -137,7 +141,9 @@
 ///
 /// Reading a prompt is no run, so any failure may be followed by another attempt.
 async fn read_prompt(call: &mut Call, ticket: &mut Ticket) -> Result<Option<Handle>, Failure> {
-    let limit = call.limit;
+    let patience = ticket.place.expected.mul_f64(PATIENCE_FACTOR);
+    let patience = patience.max(call.route.objective.mul_f64(READ_PATIENCE));
+    let limit = (Instant::now() + patience).min(call.limit);
     let attempt = async {
         match call.send(ticket, Phase::Read, None).await {
             Sent::Answered(reply) => take_handle(call, ticket, *reply).await,
