Review: one copy of what the platform's front wrote again

No change of behaviour; tests keep their assertions.

- Entry and front read, check and print their settings in runtime::start_settings, with one exit code for faulty ones.
- Reply::read takes in a whole answer for plain services and for handles.
- One constant says which prompts are notable, for the caches and for the news.
- Changed settings are found by comparing them, not their debug texts.
- A request's id is built once; its limits and route come from one question to the actor.
Match::Missing had a version that nobody read.
- choose_plain drew an index into two lists; pick returns the way itself.
- A stream that does not go on says why by name, in place of Option<()>.

--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use agatestair_runtime::{install_metrics, load_settings, open_log, print_settings};
+use agatestair_runtime::{install_metrics, open_log, start_settings};
 use agatestair_schema::settings::EntrySettings;
 
 mod flags {
@@ -27,29 +27,17 @@
     }
 }
 
-/// Exit code for faulty settings or arguments.
-const EXIT_USAGE: u8 = 2;
-
 fn main() -> ExitCode {
     let flags = match flags::AgatestairEntry::from_env() {
         Ok(flags) => flags,
         Err(error) => error.exit(),
     };
     let path: PathBuf = flags.config;
-    let settings: EntrySettings = match load_settings(&path, "EntrySettings") {
+    let settings = start_settings(&path, "EntrySettings", flags.check_config, flags.print_config);
+    let settings: EntrySettings = match settings {
         Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{error}");
-            return ExitCode::from(EXIT_USAGE);
-        }
+        Err(code) => return code,
     };
-    if flags.print_config {
-        return print_settings(&settings);
-    }
-    if flags.check_config {
-        println!("{}: settings are valid", path.display());
-        return ExitCode::SUCCESS;
-    }
     serve(settings)
 }
 
--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -13,7 +13,7 @@
 
 pub use cache::CacheModel;
 pub use choose::{Choice, Denial, DenialCause, Part, Wanted};
-pub use cost::EngineCosts;
+pub use cost::{EngineCosts, NOTABLE_TOKENS};
 pub use load::{Load, PEER_LIFETIME, PeerLoads};
 pub use seat::{Seat, SeatFacts, Stage};
 pub use trust::{Trouble, Trust, TrustSettings};
--- a/crates/policy/src/board/choose.rs
+++ b/crates/policy/src/board/choose.rs
@@ -156,8 +156,10 @@
     ///
     /// [`Denial`] if none can take it within the limit.
     pub fn choose_plain(&self, wanted: &Wanted, now: Moment) -> Result<Choice, Denial> {
+        let waiting =
+            |seat: &Seat| f64::from(seat.load(now).attempts) / f64::from(seat.facts.slots.max(1));
         let ways = self.open(wanted, None, now).map(|(key, seat)| {
-            let waiting = f64::from(seat.load(now).attempts) / f64::from(seat.facts.slots.max(1));
+            let waiting = waiting(seat);
             let near = if seat.facts.domain == wanted.domain { DOMAIN_ADVANTAGE } else { 0.0 };
             let pace = seat.pace(now);
             let nominal = PLAIN_HOLD.mul_f64((waiting - 1.0).max(0.0) + 1.0);
@@ -165,11 +167,10 @@
             let expected = nominal.mul_f64(pace);
             let cost = waiting * pace - near + seat.trust.rate(now) * FAILURE_LOAD;
             let choice = Choice { key, load, expected, nominal, reads: false, fetch: None };
-            (Way { choice, wait: Duration::ZERO, harm: 0.0, cost }, waiting)
+            Way { choice, wait: Duration::ZERO, harm: 0.0, cost }
         });
-        let (ways, loads): (Vec<Way>, Vec<f64>) = ways.unzip();
-        let Some(index) = pick(&ways, 0.0, wanted.draw) else { return Err(no_endpoint()) };
-        let (way, waiting) = (ways[index], loads[index]);
+        let way = pick(&ways.collect::<Vec<_>>(), 0.0, wanted.draw).ok_or_else(no_endpoint)?;
+        let waiting = waiting(&self.seats[way.choice.key]);
         if waiting > PLAIN_QUEUE + 1.0 {
             return Err(too_late(PLAIN_HOLD.mul_f64(waiting)));
         }
@@ -440,21 +441,20 @@
         }
     }
     match (pick(&open, as_ms(wanted.unseen), wanted.draw), earliest) {
-        (Some(index), _) => Ok(open[index].choice),
+        (Some(way), _) => Ok(way.choice),
         (None, Some(earliest)) => Err(too_late(earliest.saturating_sub(wanted.aim))),
         (None, None) => Err(no_endpoint()),
     }
 }
 
-/// Index of a way drawn from those that cost hardly more than the cheapest one.
+/// A way drawn from those that cost hardly more than the cheapest one.
 ///
 /// Instances that do not know of each other's choices yet would all take the very cheapest, and
 /// queue there while its equals stay idle.
-fn pick(ways: &[Way], spread: f64, draw: f64) -> Option<usize> {
+fn pick(ways: &[Way], spread: f64, draw: f64) -> Option<Way> {
     let least = ways.iter().map(|way| way.cost).min_by(f64::total_cmp)?;
-    let near: Vec<usize> =
-        (0..ways.len()).filter(|index| ways[*index].cost <= least + spread).collect();
-    near.get((draw * near.len() as f64) as usize).or(near.last()).copied()
+    let near: Vec<&Way> = ways.iter().filter(|way| way.cost <= least + spread).collect();
+    near.get((draw * near.len() as f64) as usize).or(near.last()).map(|way| **way)
 }
 
 fn no_endpoint() -> Denial {
--- a/crates/policy/src/board/cost.rs
+++ b/crates/policy/src/board/cost.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+/// Prompt tokens from which on a prompt is followed through the caches and told to other instances
+/// at once: 27 ms at an engine, most of a datagram round.
+pub const NOTABLE_TOKENS: u32 = 2500;
+
 /// Costs of a model engine, from the deployment's sheet.
 #[derive(Clone, Copy, Debug)]
 pub struct EngineCosts {
@@ -40,7 +44,7 @@
             setup_ms: 2.5,
             mixed_factor: 2.0,
             chunk: 1024.0,
-            notable: 2500,
+            notable: NOTABLE_TOKENS,
             memory: 350_000,
             stride: 11,
         }
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -3,13 +3,15 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use agatestair_policy::EndpointKey;
 use agatestair_policy::board::{
     Board, BoardSettings, Choice, EngineCosts, Load, Part, SeatFacts, Stage, Wanted,
 };
-use agatestair_policy::{EndpointKey, Moment};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::arrivals::{draw_arrivals, moment};
+
 /// Slots of an engine.
 const SLOTS: u32 = 12;
 
@@ -154,15 +156,8 @@
     let mut fleet = Fleet::new(4, 10);
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut outcomes = vec![Outcome::default(); kinds.len()];
-    let mut arrivals: Vec<(f64, usize)> = Vec::new();
-    for (index, kind) in kinds.iter().enumerate() {
-        let mut at = 0.0;
-        while at < seconds * 1000.0 {
-            at += -(1.0 - random.random::<f64>()).ln() * 1000.0 / kind.rate;
-            arrivals.push((at, index));
-        }
-    }
-    arrivals.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let rates: Vec<f64> = kinds.iter().map(|kind| kind.rate).collect();
+    let arrivals = draw_arrivals(&rates, seconds, &mut random);
     for (number, (at, index)) in arrivals.into_iter().enumerate() {
         let kind = &kinds[index];
         let shared = (index as u64 + 1) * 1000 + random.random_range(0..kind.parts);
@@ -367,7 +362,3 @@
         ..Wanted::default()
     }
 }
-
-fn moment(ms: f64) -> Moment {
-    Moment((ms * 1000.0) as u64 + 1)
-}
--- a/crates/policy/tests/herd.rs
+++ b/crates/policy/tests/herd.rs
@@ -1,17 +1,21 @@
 //! Many instances place on the same engines, each knowing the others' choices only after a while.
 
+mod arrivals;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
+use agatestair_policy::EndpointKey;
 use agatestair_policy::assign::digest;
 use agatestair_policy::board::{
     Board, BoardSettings, EngineCosts, Load, Part, SeatFacts, Stage, Telling, Wanted,
 };
-use agatestair_policy::{EndpointKey, Moment};
 use googletest::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use self::arrivals::{draw_arrivals, moment};
+
 /// Instances of the grown fleet, its engines, and how often an instance tells all others.
 const INSTANCES: usize = 60;
 const READERS: usize = 13;
@@ -78,15 +82,7 @@
 fn play(case: &LoadCase, manner: Manner, seed: u64) -> [f64; 2] {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut fleet = Fleet::new();
-    let mut arrivals = Vec::new();
-    for (kind, rate) in [case.long_rate, case.short_rate].into_iter().enumerate() {
-        let mut at = 0.0;
-        while at < SECONDS * 1000.0 {
-            at += -(1.0 - random.random::<f64>()).ln() * 1000.0 / rate;
-            arrivals.push((at, kind));
-        }
-    }
-    arrivals.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let arrivals = draw_arrivals(&[case.long_rate, case.short_rate], SECONDS, &mut random);
     let (mut asked, mut on_time) = ([0_u32; 2], [0_u32; 2]);
     let mut round = 0.0;
     for (number, (at, kind)) in arrivals.into_iter().enumerate() {
@@ -235,10 +231,6 @@
     }
 }
 
-fn moment(ms: f64) -> Moment {
-    Moment((ms * 1000.0) as u64 + 1)
-}
-
 #[gtest]
 fn instances_that_cannot_see_each_other_spread_their_choices() {
     for case in &LOADS {
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -1,5 +1,6 @@
 //! What callers get from placement without a queue of our own, load by load.
 
+mod arrivals;
 mod fleet;
 
 use agatestair_policy::board::{
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -21,4 +21,4 @@
 pub use log::open_log;
 pub use metrics::{MetricsHandle, install_metrics};
 pub use shutdown::cancel_on_signal;
-pub use start::{load_settings, print_settings};
+pub use start::{EXIT_USAGE, load_settings, print_settings, start_settings};
--- a/crates/serve/src/configuration.rs
+++ b/crates/serve/src/configuration.rs
@@ -153,10 +153,7 @@
     /// No configuration is known yet.
     Unknown,
     /// The configuration has no such route.
-    Missing {
-        /// Version of the configuration.
-        version: u64,
-    },
+    Missing,
     /// The route.
     Found {
         /// Version of the configuration.
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -57,7 +57,7 @@
         facts.as_ref().ok().and_then(|facts| facts.id.as_deref()).map(Rc::from);
     let mut leave = LeaveLog { front: &front, id: id.clone(), arrived, answered: false };
     let outcome = match facts {
-        Ok(facts) => serve(&front, request, facts, arrived).await,
+        Ok(facts) => serve(&front, request, facts, id.clone(), arrived).await,
         Err(fault) => {
             log_event!(front.log, ATTEMPT_FAILED, "request" => id.as_deref(),
                 "error" => fault.to_string());
@@ -87,22 +87,23 @@
     front: &Rc<Front>,
     request: Request<Incoming>,
     facts: CallFacts,
+    id: Option<Rc<str>>,
     arrived: Instant,
 ) -> Outcome {
     let (head, body) = request.into_parts();
-    let limits = front.hub.ask(|node, _| node.limits());
     let host = head.uri.host().map(str::to_owned).or_else(|| text(&head.headers, &HOST));
     let path = head.uri.path().to_owned();
     let draw = rand::rng().random::<f64>();
     let host = host.unwrap_or_default();
-    let found = front.hub.ask(move |node, _| node.route(&host, &path, draw));
+    let (limits, found) =
+        front.hub.ask(move |node, _| (node.limits(), node.route(&host, &path, draw)));
     let body = read_body(front, body, &limits, arrived + limits.idle_time).await;
     let (route, service, version) = match found {
         Match::Unknown => {
             let cause = "no configuration is known yet";
             return Err((None, Failure::NotRun { back: DEFAULT_BACK, cause }));
         }
-        Match::Missing { .. } => return Err((None, Failure::NoRoute)),
+        Match::Missing => return Err((None, Failure::NoRoute)),
         Match::Found { route, service, version } => (route, service, version),
     };
     let (body, _held) = body.map_err(|failure| (Some(route.clone()), failure))?;
@@ -113,7 +114,6 @@
     let Ok(uri) = uri.parse() else {
         return Err((Some(route), Failure::Faulty(StatusCode::BAD_REQUEST, "malformed path")));
     };
-    let id = facts.id.as_deref().map(Rc::from);
     let time = facts.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let call = Call {
         front: front.clone(),
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -46,7 +46,7 @@
 pub use hub::Hub;
 pub use line::{Line, LineFault, LineSettings, exchange};
 pub use members::{Group, Member, MemberState, Members};
-pub use news::{NOTABLE_TOKENS, News};
+pub use news::News;
 pub use node::{Node, NodeSettings};
 pub use pulse::{Pulse, PulseLoad};
 pub use reload::Reload;
--- a/crates/serve/src/news.rs
+++ b/crates/serve/src/news.rs
@@ -3,11 +3,9 @@
 use std::cell::RefCell;
 
 use agatestair_policy::EndpointKey;
+use agatestair_policy::board::NOTABLE_TOKENS;
 use tokio::sync::Notify;
 
-/// Prompt tokens to read that are told at once: 27 ms at an engine, most of a datagram round.
-pub const NOTABLE_TOKENS: u32 = 2500;
-
 /// Endpoints to tell of.
 #[derive(Debug, Default)]
 pub struct News {
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -198,14 +198,14 @@
         let Some(configuration) = &self.configuration else { return Match::Unknown };
         let version = configuration.version;
         let Some(route) = configuration.route(host, path) else {
-            return Match::Missing { version };
+            return Match::Missing;
         };
         let service = route.target(draw).and_then(|name| configuration.services.get(name));
         match service {
             Some(service) => {
                 Match::Found { version, route: route.clone(), service: service.clone() }
             }
-            None => Match::Missing { version },
+            None => Match::Missing,
         }
     }
 
--- a/crates/serve/src/plain.rs
+++ b/crates/serve/src/plain.rs
@@ -2,7 +2,6 @@
 
 use agatestair_policy::board::Trouble;
 use http::Response;
-use http_body_util::{BodyExt, Limited};
 use tokio::time::timeout_at;
 
 use crate::answer::{Failure, respond};
@@ -57,14 +56,16 @@
 }
 
 /// Reads a whole answer and keeps the connection.
-async fn collect(call: &Call, ticket: &Ticket, reply: Reply) -> Result<Response<AnswerBody>, Sent> {
-    let Reply { status, headers, facts, body, mut line } = reply;
-    if status.is_success() && !facts.signed {
+async fn collect(
+    call: &Call,
+    ticket: &Ticket,
+    mut reply: Reply,
+) -> Result<Response<AnswerBody>, Sent> {
+    let (status, headers) = (reply.status, std::mem::take(&mut reply.headers));
+    if status.is_success() && !reply.facts.signed {
         return Err(Sent::Unknown("the answer is not signed".to_owned()));
     }
-    let body = Limited::new(body, MAX_HELD_BYTES).collect().await;
-    let bytes = body.map_err(|error| Sent::Unknown(format!("answer cut: {error}")))?.to_bytes();
-    line.note_idle(facts.idle);
+    let (bytes, line) = reply.read(MAX_HELD_BYTES).await?;
     call.front.pool.put(ticket.place.key, line);
     Ok(respond(status, headers, AnswerBody::whole(bytes)))
 }
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -31,6 +31,20 @@
     idle: Option<Duration>,
 }
 
+impl Run {
+    fn new(ticket: Ticket, reply: Reply) -> Self {
+        Self { ticket, body: reply.body, line: reply.line, idle: reply.facts.idle }
+    }
+}
+
+/// Why no further run has begun.
+enum NotResumed {
+    /// An endpoint failed; another one may do.
+    Failed,
+    /// There is no place, or no time left.
+    Over,
+}
+
 /// Why a run stopped before its end.
 enum Stop {
     /// The caller left.
@@ -44,8 +58,7 @@
 /// Relays a stream; the caller's body is complete only if the stream was.
 pub fn relay(call: Call, ticket: Ticket, reply: Reply) -> AnswerBody {
     let (pieces, body) = mpsc::channel(QUEUED_PIECES);
-    let run = Run { ticket, body: reply.body, line: reply.line, idle: reply.facts.idle };
-    tokio::task::spawn_local(follow(call, run, pieces));
+    tokio::task::spawn_local(follow(call, Run::new(ticket, reply), pieces));
     AnswerBody::Pieces(body)
 }
 
@@ -135,8 +148,8 @@
         while call.may_run_again() {
             match resume(call, events).await {
                 Ok(next) => return Some(next),
-                Err(None) => {}
-                Err(Some(_)) => break,
+                Err(NotResumed::Failed) => {}
+                Err(NotResumed::Over) => break,
             }
             if pieces.is_closed() {
                 break;
@@ -151,8 +164,9 @@
 }
 
 /// Begins a further run after the last whole event.
-async fn resume(call: &mut Call, events: &EventSplitter) -> Result<Run, Option<()>> {
-    let mut ticket = call.place(Search::Run { split: false }).map_err(|_| Some(()))?;
+async fn resume(call: &mut Call, events: &EventSplitter) -> Result<Run, NotResumed> {
+    let place = call.place(Search::Run { split: false });
+    let mut ticket = place.map_err(|_| NotResumed::Over)?;
     let last = events.last.clone();
     let limit = call.limit;
     let sent = timeout_at(limit, call.send(&ticket, Phase::Whole, last.as_deref())).await;
@@ -163,13 +177,13 @@
                 call.runs += 1;
             }
             call.note_failed(&ticket, Trouble::Broken, "the stream was not resumed");
-            return Err(None);
+            return Err(NotResumed::Failed);
         }
-        Err(_) => return Err(Some(())),
+        Err(_) => return Err(NotResumed::Over),
     };
     call.runs += 1;
     ticket.note_first();
     log_event!(call.front.log, RESUMED, "request" => call.passed.id.as_deref(),
         "endpoint" => &*ticket.place.name, "after" => last);
-    Ok(Run { ticket, body: reply.body, line: reply.line, idle: reply.facts.idle })
+    Ok(Run::new(ticket, *reply))
 }
--- a/crates/serve/src/reload.rs
+++ b/crates/serve/src/reload.rs
@@ -46,7 +46,7 @@
 
 fn adopt(front: &Front, settings: ServeSettings, signalled: bool) {
     let former = front.settings();
-    let changed = format!("{:?}", *former) != format!("{settings:?}");
+    let changed = *former != settings;
     if changed {
         let retry = retry_settings(&settings);
         front.hub.ask(move |node, _| node.set_retry(retry));
--- a/crates/serve/src/send.rs
+++ b/crates/serve/src/send.rs
@@ -66,6 +66,21 @@
     Unknown(String),
 }
 
+impl Reply {
+    /// Reads the whole body; returns the connection, which can be used again then.
+    ///
+    /// # Errors
+    ///
+    /// [`Sent::Unknown`] if the body is cut or larger than the bound.
+    pub async fn read(self, max_bytes: usize) -> Result<(Bytes, Line), Sent> {
+        let Self { body, facts, mut line, .. } = self;
+        let body = Limited::new(body, max_bytes).collect().await;
+        let body = body.map_err(|error| Sent::Unknown(format!("answer cut: {error}")))?;
+        line.note_idle(facts.idle);
+        Ok((body.to_bytes(), line))
+    }
+}
+
 /// Sends a request to an endpoint and waits for the head of the answer.
 ///
 /// Dropping the future closes the connection, at which the endpoint drops the request.
--- a/crates/serve/src/split.rs
+++ b/crates/serve/src/split.rs
@@ -8,7 +8,6 @@
 use agatestair_policy::board::Trouble;
 use agatestair_runtime::log_event;
 use http::Response;
-use http_body_util::{BodyExt, Limited};
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{Failure, not_run, respond};
@@ -168,15 +167,13 @@
 }
 
 async fn take_handle(call: &Call, ticket: &Ticket, reply: Reply) -> Result<Handle, Sent> {
-    let Reply { status, facts, body, mut line, .. } = reply;
-    let body = Limited::new(body, MAX_HANDLE_BYTES).collect().await;
-    let bytes = body.map_err(|error| Sent::Unknown(format!("answer cut: {error}")))?.to_bytes();
+    let status = reply.status;
+    let (bytes, line) = reply.read(MAX_HANDLE_BYTES).await?;
     if !status.is_success() {
         return Err(Sent::Unknown(format!("status {}", status.as_u16())));
     }
     let name = (call.front.dialect.read_handle)(&bytes)
         .map_err(|fault| Sent::Unknown(fault.to_string()))?;
-    line.note_idle(facts.idle);
     call.front.pool.put(ticket.place.key, line);
     Ok(Handle {
         front: call.front.clone(),
