Large fleets: three instances follow the store for all, collectors pass work on

Change: from 25 instances on, three of them (widest first, no lease) follow the store and tell the others in bulletins: changes at once and twice, versions every 250 ms. Whoever misses a change, or hears of no answer of the store for 1.7 s, asks by itself. What instances have in work goes to two collectors of their domain, which send one datagram a round to each member and sums to the other domains. Smaller fleets do as before.

A check of `what_an_instance_sends_is_bounded_at_any_size` now expects three rounds in fleets of 24 and more others, where collectors pass news on; `tests/collect.rs` plays those at 30 to 343.

--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -18,7 +18,7 @@
 pub use seat::{Seat, SeatFacts, Stage};
 pub use trust::{Trouble, Trust, TrustSettings};
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -171,6 +171,16 @@
         keys.iter().filter_map(|key| Some(telling(self.seats.get(*key)?, now))).collect()
     }
 
+    /// Work at every endpoint of this instance and of all that are heard, without `left_out`.
+    pub fn totals(&self, left_out: &HashSet<u64>, now: Moment) -> Vec<Telling> {
+        let total = |seat: &Seat| Telling {
+            endpoint: seat.digest,
+            load: seat.own + seat.peers.sum_without(left_out, now),
+            pace: fresh_pace(seat.paced, now),
+        };
+        self.seats.values().map(total).collect()
+    }
+
     /// Whether an attempt may still go to an endpoint.
     pub fn is_open(&self, key: EndpointKey) -> bool {
         self.seats.get(key).is_some_and(|seat| !seat.facts.leaving)
@@ -197,7 +207,11 @@
 }
 
 fn telling(seat: &Seat, now: Moment) -> Telling {
-    let pace = seat.heard.filter(|(_, at)| now.since(*at) < FRESH_PACE);
-    let pace = pace.map(|(pace, at)| (pace, now.since(at)));
-    Telling { endpoint: seat.digest, load: seat.own, pace }
+    Telling { endpoint: seat.digest, load: seat.own, pace: fresh_pace(seat.heard, now) }
+}
+
+/// A word on an endpoint's pace and its age, if it is still worth passing on.
+fn fresh_pace(said: Option<(f64, Moment)>, now: Moment) -> Option<(f64, Duration)> {
+    let (pace, at) = said.filter(|(_, at)| now.since(*at) < FRESH_PACE)?;
+    Some((pace, now.since(at)))
 }
--- a/crates/policy/src/board/load.rs
+++ b/crates/policy/src/board/load.rs
@@ -1,6 +1,6 @@
 //! Load of endpoints as instances count it themselves.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::ops::{Add, Sub};
 use std::time::Duration;
 
@@ -81,7 +81,14 @@
 
     /// Sum of what was said within [`PEER_LIFETIME`].
     pub fn sum(&self, now: Moment) -> Load {
-        let fresh = self.loads.values().filter(|(_, said)| now.since(*said) < PEER_LIFETIME);
-        fresh.fold(Load::default(), |sum, (load, _)| sum + *load)
+        self.sum_without(&HashSet::new(), now)
+    }
+
+    /// The same without what some have said.
+    pub fn sum_without(&self, left_out: &HashSet<u64>, now: Moment) -> Load {
+        let counts =
+            |peer: &u64, said: Moment| now.since(said) < PEER_LIFETIME && !left_out.contains(peer);
+        let loads = self.loads.iter().filter(|(peer, (_, said))| counts(peer, *said));
+        loads.fold(Load::default(), |sum, (_, (load, _))| sum + *load)
     }
 }
--- /dev/null
+++ b/crates/serve/src/bulletins.rs
@@ -0,0 +1,104 @@
+//! Bulletins: what the instances that follow the store tell all others of it.
+//!
+//! Changes go out at once and a second time soon after, since datagrams are lost. Whoever misses
+//! one learns of it from the versions in later bulletins, and asks the store itself.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::datagram::{Bulletin, BulletinNews, BulletinTable, Datagram, TableState};
+use crate::front::Front;
+use crate::pulse::send_all;
+use crate::store::Table;
+use crate::watch::{apply, expire};
+use crate::watchers::Rank;
+
+/// Time between two bulletins without changes.
+const INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time after which changes are told a second time.
+const REPEAT: Duration = Duration::from_millis(120);
+
+/// Sends bulletins while this instance follows the store for others.
+pub async fn send_bulletins(front: Rc<Front>, socket: Rc<UdpSocket>) {
+    let mut round = 0;
+    loop {
+        send_bulletin(&front, &socket, None, round).await;
+        round += 1;
+        let next = Instant::now() + INTERVAL;
+        while Instant::now() < next {
+            let Ok(news) = timeout_at(next, front.changes.next()).await else { break };
+            for news in news {
+                send_bulletin(&front, &socket, Some(news.clone()), round).await;
+                let (front, socket) = (front.clone(), socket.clone());
+                tokio::task::spawn_local(async move {
+                    sleep(REPEAT).await;
+                    send_bulletin(&front, &socket, Some(news), round).await;
+                });
+            }
+        }
+    }
+}
+
+async fn send_bulletin(front: &Front, socket: &UdpSocket, news: Option<BulletinNews>, round: u64) {
+    let composed = front.hub.ask(move |node, now| {
+        let (answered, returned) = node.fleet.contact(now)?;
+        let told = node.members.is_large() && node.watchers.watching();
+        let own = node.own().0;
+        let bulletin = Bulletin {
+            sender: agatestair_policy::assign::digest(&own.name),
+            weight: own.weight,
+            answered_ms: millis(answered),
+            returned_ms: returned.map(millis),
+            tables: [BulletinTable::Configuration, BulletinTable::Endpoints]
+                .map(|table| {
+                    let cursor = node.cursor(table.into());
+                    let (base, known) = cursor.span();
+                    TableState { table, tip: cursor.tip, base, known }
+                })
+                .to_vec(),
+            news,
+        };
+        told.then(|| (bulletin, node.members.everyone(round, now)))
+    });
+    if let Some((bulletin, audience)) = composed {
+        metrics::counter!("agatestair_serve_bulletins_total").increment(1);
+        send_all(front, socket, &Datagram::Bulletin(bulletin), &audience).await;
+    }
+}
+
+/// Takes in a bulletin.
+pub fn note_bulletin(front: &Front, bulletin: Bulletin) {
+    let Bulletin { sender, weight, answered_ms, returned_ms, tables, news } = bulletin;
+    let age = Duration::from_millis(answered_ms.into());
+    let returned = returned_ms.map(|ms| Duration::from_millis(ms.into()));
+    front.hub.ask(move |node, now| {
+        node.watchers.note(Rank::new(weight, sender), age, now);
+        node.fleet.hear_contact(now - age, returned.map(|returned| now - returned));
+    });
+    if let Some(news) = news {
+        let table = Table::from(news.table);
+        let rows = front.hub.ask(move |node, now| node.cursor(table).note_news(news.into(), now));
+        if !rows.is_empty() {
+            apply(front, table, rows, false, "bulletin");
+        }
+    }
+    let behind = front.hub.ask(move |node, now| {
+        let behind = tables.into_iter().filter(|state| {
+            let cursor = node.cursor(state.table.into());
+            cursor.note_span(state.base, state.known);
+            cursor.note_tip(state.tip, now);
+            cursor.behind() == Some(now)
+        });
+        behind.map(|state| Table::from(state.table)).collect::<Vec<_>>()
+    });
+    behind.into_iter().for_each(|table| front.behind.notify(table));
+    expire(front);
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -19,23 +19,42 @@
     lapsed: HashMap<Arc<str>, Moment>,
     away: Option<Moment>,
     back: Option<Moment>,
+    /// When the store last answered any instance, as far as is known.
     answered: Moment,
+    /// When it last answered this one; `None` since a call has failed.
+    own: Option<Moment>,
 }
 
 impl Fleet {
     /// The store cannot be reached.
     pub fn note_away(&mut self, now: Moment) {
         self.away.get_or_insert(now);
+        self.own = None;
     }
 
     /// The store answers.
     pub fn note_back(&mut self, now: Moment) {
         self.answered = now;
+        self.own = Some(now);
         if self.away.take().is_some() {
             self.back = Some(now);
         }
     }
 
+    /// How long ago the store answered this instance, and since when it is back after an absence;
+    /// `None` if it did not answer the last call.
+    pub fn contact(&self, now: Moment) -> Option<(Duration, Option<Duration>)> {
+        let own = self.own.filter(|_| self.known)?;
+        Some((now.since(own), self.back.map(|back| now.since(back))))
+    }
+
+    /// The store answered another instance, which has had it back since a moment.
+    pub fn hear_contact(&mut self, answered: Moment, returned: Option<Moment>) {
+        self.answered = self.answered.max(answered);
+        self.back = self.back.max(returned);
+        self.away = None;
+    }
+
     /// Takes over an entry.
     pub fn upsert(&mut self, board: &mut Board, facts: SeatFacts) -> EndpointKey {
         self.lapsed.remove(&facts.name);
--- a/crates/serve/src/front.rs
+++ b/crates/serve/src/front.rs
@@ -21,13 +21,14 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::AnswerBody;
+use crate::datagram::BulletinNews;
 use crate::dialect::Dialect;
 use crate::events::{ACCEPT_FAILED, CONNECTION_FAILED};
 use crate::hub::Hub;
 use crate::listen::configure;
-use crate::news::News;
+use crate::news::{News, Outbox};
 use crate::pool::Pool;
-use crate::store::StoreClient;
+use crate::store::{StoreClient, Table};
 
 /// Pause after a connection could not be accepted, until descriptors may be free again.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -60,8 +61,12 @@
     pub log: Logger,
     /// Loads that others are told of at once.
     pub news: News,
-    /// Another instance has a newer configuration.
-    pub behind: Notify,
+    /// Changes of the store that others are told of.
+    pub changes: Outbox<BulletinNews>,
+    /// Something that collectors pass on without waiting for the next round.
+    pub urgent: Notify,
+    /// Another instance knows of a later change of a table.
+    pub behind: Behind,
     /// Cancelled when the instance is about to stop.
     pub leaving: CancellationToken,
     /// Cancelled when idle callers' connections are to be closed.
@@ -74,6 +79,29 @@
     pub body_bytes: Cell<usize>,
 }
 
+/// Wakes the tasks that follow the store's tables.
+#[derive(Debug, Default)]
+pub struct Behind {
+    configuration: Notify,
+    endpoints: Notify,
+}
+
+impl Behind {
+    /// Wakes the task that follows a table, which may be waiting for something else at the moment.
+    pub fn notify(&self, table: Table) {
+        self.of(table).notify_one();
+    }
+
+    /// Waits for the next such call.
+    pub async fn notified(&self, table: Table) {
+        self.of(table).notified().await;
+    }
+
+    fn of(&self, table: Table) -> &Notify {
+        if table == Table::Configuration { &self.configuration } else { &self.endpoints }
+    }
+}
+
 impl Front {
     /// The settings in force.
     pub fn settings(&self) -> Rc<ServeSettings> {
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -7,8 +7,14 @@
 
 mod answer;
 mod body;
+mod bulletins;
 mod call;
+mod collect;
+mod collection;
+mod collectors;
 mod configuration;
+mod cursor;
+mod datagram;
 mod dialect;
 mod directory;
 pub mod events;
@@ -35,8 +41,16 @@
 mod stream;
 mod ticket;
 mod watch;
+mod watchers;
 
+pub use collection::Collection;
+pub use collectors::Collectors;
 pub use configuration::{Configuration, EngineFacts, Kind, Limits, Match, Route, Service, Target};
+pub use cursor::{Cursor, TableNews};
+pub use datagram::{
+    Bulletin, BulletinNews, BulletinTable, Datagram, Digest, DomainSums, Identity, Pulse,
+    PulseLoad, TableState,
+};
 pub use dialect::{
     AnswerFacts, Asker, CallFacts, Dialect, HandleName, Outbound, Paths, Phase, Prompt, WireCall,
     WireFault,
@@ -48,8 +62,8 @@
 pub use members::{Group, Member, MemberState, Members};
 pub use news::News;
 pub use node::{Node, NodeSettings};
-pub use pulse::{Pulse, PulseLoad};
 pub use reload::Reload;
 pub use run::{Parts, Process, ServeError};
 pub use store::{Changes, LocalFuture, Row, RowKey, StoreClient, StoreFault, Table, Transaction};
 pub use stream::EventSplitter;
+pub use watchers::{Rank, Watchers};
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -1,6 +1,6 @@
 //! The instances of this system as this one knows them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +9,8 @@
 use agatestair_policy::assign::digest;
 use serde::{Deserialize, Serialize};
 
+use crate::watchers::Rank;
+
 /// Silence after which an instance is not named to callers: three missed heartbeats.
 pub const SILENCE: Duration = Duration::from_millis(1600);
 
@@ -28,9 +30,17 @@
 /// Members of a group that can get a datagram in every round.
 const FULL_GROUP: u64 = 12;
 
+/// Rounds after which all know of a choice through the collectors: to the own ones, to those of the
+/// other domains, and to their instances.
+const COLLECTED_ROUNDS: u64 = 3;
+
 /// Instances that look at the store often on behalf of all: two may be lost at once.
 const READERS: usize = 3;
 
+/// Other instances from which on a few follow the store for all, and tell them. In a smaller fleet
+/// the calls of all cost little, and nobody depends on others.
+const LARGE_FLEET: usize = 24;
+
 /// Instances that a directory's answer names at most.
 const MAX_NAMED: usize = 64;
 
@@ -51,6 +61,16 @@
     pub peers: SocketAddr,
     /// Start of its process, Unix milliseconds.
     pub born: u64,
+    /// Weight of its machine: its share of a core in thousandths.
+    #[serde(default)]
+    pub weight: u32,
+}
+
+impl Member {
+    /// Its rank where a few instances act for all.
+    pub fn rank(&self) -> Rank {
+        Rank::new(self.weight, digest(&self.name))
+    }
 }
 
 /// State of an instance as it last said.
@@ -70,6 +90,13 @@
     since: Moment,
 }
 
+impl Known {
+    /// Whether it may act for others: it is alive, or has just become known.
+    fn is_candidate(&self, now: Moment) -> bool {
+        !self.state.leaving && now.since(self.heard.unwrap_or(self.since)) < SILENCE
+    }
+}
+
 /// Instances that get the same datagrams.
 ///
 /// A larger group gets them in fewer rounds, so that what an instance sends is bounded at any size.
@@ -94,23 +121,25 @@
 /// The other instances.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
-    known: HashMap<Arc<str>, Known>,
+    /// By the digest of their names.
+    known: HashMap<u64, Known>,
 }
 
 impl Members {
     /// Takes over a row of the store.
     pub fn note_row(&mut self, member: Member, now: Moment) {
-        let older =
-            self.known.get(&member.name).is_some_and(|known| known.member.born >= member.born);
+        let key = digest(&member.name);
+        let older = self.known.get(&key).is_some_and(|known| known.member.born >= member.born);
         if !older {
             let known = Known { state: MemberState::default(), heard: None, since: now, member };
-            self.known.insert(known.member.name.clone(), known);
+            self.known.insert(key, known);
         }
     }
 
     /// Takes over what an instance says itself; returns whether it is news.
     pub fn note_heard(&mut self, member: Member, state: MemberState, now: Moment) -> bool {
-        if let Some(known) = self.known.get_mut(&member.name) {
+        let key = digest(&member.name);
+        if let Some(known) = self.known.get_mut(&key) {
             let straggler = known.member.born > member.born
                 && known.heard.is_some_and(|heard| now.since(heard) < STRAGGLER);
             if straggler {
@@ -121,10 +150,25 @@
             return news;
         }
         let known = Known { state, heard: Some(now), since: now, member };
-        self.known.insert(known.member.name.clone(), known);
+        self.known.insert(key, known);
         true
     }
 
+    /// Takes over the state of an instance that is named by the digest of its name; returns
+    /// whether it is news, `None` if the instance is not known.
+    pub fn note_alive(&mut self, key: u64, state: MemberState, now: Moment) -> Option<bool> {
+        let known = self.known.get_mut(&key)?;
+        let news = known.state != state || known.heard.is_none();
+        known.state = state;
+        known.heard = Some(now);
+        Some(news)
+    }
+
+    /// Name of the instance with a digest.
+    pub fn name(&self, key: u64) -> Option<Arc<str>> {
+        self.known.get(&key).map(|known| known.member.name.clone())
+    }
+
     /// Instances that are alive as far as is known.
     pub fn count(&self, now: Moment) -> usize {
         let alive = |known: &&Known| known.heard.is_some_and(|heard| now.since(heard) < SILENCE);
@@ -139,8 +183,11 @@
         Group { period: period(peers.len()), peers }
     }
 
-    /// Rounds from one datagram to the next in the larger of the two groups.
+    /// Rounds after which the others know of a choice.
     pub fn rounds(&self, domain: &str) -> u64 {
+        if self.is_large() {
+            return COLLECTED_ROUNDS;
+        }
         let near = self.known.values().filter(|known| &*known.member.domain == domain).count();
         period(near.max(self.known.len() - near))
     }
@@ -148,10 +195,75 @@
     /// Whether this instance is one of those that look at the store often on behalf of all.
     pub fn is_reader(&self, own: &str, now: Moment) -> bool {
         let mine = digest(own);
-        let alive = self.known.values().filter(|known| {
+        let alive = self.known.iter().filter(|(_, known)| {
             !known.state.leaving && known.heard.is_some_and(|heard| now.since(heard) < SILENCE)
         });
-        alive.filter(|known| digest(&known.member.name) < mine).count() < READERS
+        alive.filter(|(key, _)| **key < mine).count() < READERS
+    }
+
+    /// Ranks of the others that are alive, or may have just begun to be heard.
+    pub fn ranks(&self, now: Moment) -> impl Iterator<Item = Rank> {
+        self.candidates(now).map(|known| known.member.rank())
+    }
+
+    /// Ranks of the others of a failure domain that are alive, with their addresses.
+    pub fn near(&self, domain: &str, now: Moment) -> Vec<(Rank, SocketAddr)> {
+        let near = self.candidates(now).filter(|known| &*known.member.domain == domain);
+        near.map(|known| (known.member.rank(), known.member.peers)).collect()
+    }
+
+    /// Address of one collector in each domain but the own one: the one with the same place in its
+    /// domain, so that two paths lead there.
+    ///
+    /// Where a whole domain is silent, its instances are tried in turn, so that it is found again
+    /// after a cut.
+    pub fn far_collectors(
+        &self,
+        own: &str,
+        place: usize,
+        round: u64,
+        now: Moment,
+    ) -> Vec<SocketAddr> {
+        let mut domains: HashMap<&str, Vec<&Known>> = HashMap::new();
+        for known in self.known.values().filter(|known| &*known.member.domain != own) {
+            domains.entry(&known.member.domain).or_default().push(known);
+        }
+        let chosen = domains.into_values().filter_map(|mut members| {
+            members.sort_unstable_by_key(|known| known.member.rank());
+            let alive: Vec<&Known> =
+                members.iter().filter(|known| known.is_candidate(now)).copied().collect();
+            let retry = || {
+                let turn = (round / RARE_SENDS) as usize % members.len();
+                Some(members[turn]).filter(|_| round.is_multiple_of(RARE_SENDS))
+            };
+            alive.get(place).or(alive.last()).copied().or_else(retry)
+        });
+        chosen.map(|known| known.member.peers).collect()
+    }
+
+    /// Digests of the names of all other failure domains.
+    pub fn far_domains(&self, own: &str) -> HashSet<u64> {
+        let domains: HashSet<&str> =
+            self.known.values().map(|known| &*known.member.domain).collect();
+        domains.into_iter().filter(|domain| *domain != own).map(digest).collect()
+    }
+
+    fn candidates(&self, now: Moment) -> impl Iterator<Item = &Known> {
+        self.known.values().filter(move |known| known.is_candidate(now))
+    }
+
+    /// Whether the fleet is so large that a few instances act for all.
+    pub fn is_large(&self) -> bool {
+        self.known.len() >= LARGE_FLEET
+    }
+
+    /// Addresses for a datagram to all; silent instances are among them only now and then.
+    pub fn everyone(&self, round: u64, now: Moment) -> Vec<SocketAddr> {
+        let peers = self
+            .known
+            .values()
+            .map(|known| (known.member.peers, known.heard.unwrap_or(known.since)));
+        Group { period: 1, peers: peers.collect() }.audience(round, now)
     }
 
     /// Forgets instances that have been silent for long.
--- a/crates/serve/src/news.rs
+++ b/crates/serve/src/news.rs
@@ -1,4 +1,4 @@
-//! Endpoints whose load has changed so much that other instances are told at once.
+//! What other instances are told at once.
 
 use std::cell::RefCell;
 
@@ -6,30 +6,54 @@
 use agatestair_policy::board::NOTABLE_TOKENS;
 use tokio::sync::Notify;
 
-/// Endpoints to tell of.
+/// Things to tell, in the order in which they came.
+#[derive(Debug)]
+pub struct Outbox<T> {
+    items: RefCell<Vec<T>>,
+    added: Notify,
+}
+
+impl<T> Default for Outbox<T> {
+    fn default() -> Self {
+        Self { items: RefCell::default(), added: Notify::new() }
+    }
+}
+
+impl<T> Outbox<T> {
+    /// Adds one.
+    pub fn push(&self, item: T) {
+        self.items.borrow_mut().push(item);
+        self.added.notify_one();
+    }
+
+    /// Waits for things to tell.
+    pub async fn next(&self) -> Vec<T> {
+        loop {
+            let items = self.items.take();
+            if !items.is_empty() {
+                return items;
+            }
+            self.added.notified().await;
+        }
+    }
+}
+
+/// Endpoints whose load has changed so much that others are told at once.
 #[derive(Debug, Default)]
 pub struct News {
-    keys: RefCell<Vec<EndpointKey>>,
-    added: Notify,
+    keys: Outbox<EndpointKey>,
 }
 
 impl News {
     /// Notes that the prompts that an endpoint has yet to read have changed by some tokens.
     pub fn note(&self, key: EndpointKey, tokens: u32) {
         if tokens >= NOTABLE_TOKENS {
-            self.keys.borrow_mut().push(key);
-            self.added.notify_one();
+            self.keys.push(key);
         }
     }
 
     /// Waits for endpoints to tell of.
     pub async fn next(&self) -> Vec<EndpointKey> {
-        loop {
-            let keys = self.keys.take();
-            if !keys.is_empty() {
-                return keys;
-            }
-            self.added.notified().await;
-        }
+        self.keys.next().await
     }
 }
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -1,19 +1,29 @@
 //! The state and the decisions of one instance.
 
+mod gossip;
+
+pub use gossip::Heard;
+
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use agatestair_policy::assign::digest;
 use agatestair_policy::board::{
     Board, BoardSettings, Choice, Denial, Load, Part, SeatFacts, Stage, Wanted,
 };
 use agatestair_policy::{EndpointKey, Moment, RetryBudget, RetrySettings};
 use stakker::CX;
 
+use crate::collection::Collection;
+use crate::collectors::Collectors;
 use crate::configuration::{Configuration, Limits, Match};
+use crate::cursor::Cursor;
 use crate::fleet::Fleet;
 use crate::members::{Member, MemberState, Members};
+use crate::store::Table;
+use crate::watchers::{WATCHERS, Watchers};
 
 /// Instances that the retry budget is shared by while fewer are known.
 const MIN_SHARERS: usize = 12;
@@ -45,6 +55,19 @@
     pub board: BoardSettings,
     /// Repeats over all instances; each takes its part of the slack.
     pub retry: RetrySettings,
+    /// Number from 0 to 1 drawn for this process, which spreads what instances do by themselves.
+    pub draw: f64,
+}
+
+/// How this instance follows a table of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Duty {
+    /// It holds calls that wait for changes, each within the bounds on changes.
+    Close,
+    /// It holds long ones, since others tell it if one misses a change.
+    Loose,
+    /// It relies on the bulletins of others.
+    Rest,
 }
 
 /// Something that a task has the actor decide.
@@ -109,6 +132,18 @@
     pub fleet: Fleet,
     /// Other instances.
     pub members: Members,
+    /// The instances that follow the store for others.
+    pub watchers: Watchers,
+    /// The instances that collect for this one's domain.
+    pub collectors: Collectors,
+    /// What this instance has collected and not passed on.
+    pub collection: Collection,
+    /// Digest of this instance's name.
+    pub digest: u64,
+    /// Digest of the name of its domain.
+    pub domain: u64,
+    configurations: Cursor,
+    endpoints: Cursor,
     budgets: HashMap<Arc<str>, RetryBudget>,
     reads: VecDeque<Read>,
     /// Whether this instance is about to stop.
@@ -133,6 +168,13 @@
             board: Board::new(settings.board),
             fleet: Fleet::default(),
             members: Members::default(),
+            watchers: Watchers::default(),
+            collectors: Collectors::default(),
+            collection: Collection::default(),
+            digest: digest(&settings.own.name),
+            domain: digest(&settings.own.domain),
+            configurations: Cursor::default(),
+            endpoints: Cursor::default(),
             budgets: HashMap::new(),
             reads: VecDeque::new(),
             leaving: false,
@@ -186,6 +228,28 @@
         self.members.is_reader(&self.settings.own.name, now)
     }
 
+    /// How far a table of the store has been followed.
+    pub fn cursor(&mut self, table: Table) -> &mut Cursor {
+        if table == Table::Configuration { &mut self.configurations } else { &mut self.endpoints }
+    }
+
+    /// Whether this instance is among the first to follow the store for others.
+    pub fn is_first(&self, now: Moment) -> bool {
+        let own = self.settings.own.rank();
+        self.members.ranks(now).filter(|rank| *rank < own).count() < WATCHERS
+    }
+
+    /// Decides how this instance follows a table of the store.
+    pub fn duty(&mut self, table: Table, now: Moment) -> Duty {
+        if self.members.is_large() {
+            let (own, draw) = (self.settings.own.rank(), self.settings.draw);
+            let watching = self.watchers.decide(own, self.members.ranks(now), draw, now);
+            return if watching { Duty::Close } else { Duty::Rest };
+        }
+        let waits = table == Table::Configuration && !self.is_reader(now);
+        if waits { Duty::Loose } else { Duty::Close }
+    }
+
     /// Addresses for a caller in a failure domain.
     pub fn entries(&self, domain: &str, now: Moment) -> Vec<SocketAddr> {
         let own = &self.settings.own;
@@ -259,13 +323,13 @@
     }
 
     /// Prompts' parts that endpoints got from this instance within a time.
-    pub fn tell_reads(&mut self, within: Duration, now: Moment) -> Vec<(u64, Part)> {
+    fn tell_reads(&mut self, within: Duration, now: Moment) -> Vec<(u64, Part)> {
         self.reads.retain(|read| now.since(read.at) <= within);
         self.reads.iter().map(|read| (read.endpoint, read.part)).collect()
     }
 
     /// Takes over which prompts' parts endpoints got from another instance.
-    pub fn hear_reads(&mut self, reads: &[(u64, Part)], now: Moment) {
+    fn hear_reads(&mut self, reads: &[(u64, Part)], now: Moment) {
         for (endpoint, part) in reads {
             if let Some(key) = self.board.find_digest(*endpoint) {
                 self.board.note_read(key, std::slice::from_ref(part), now);
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -12,6 +12,7 @@
 use agatestair_runtime::{LogBuffer, MetricsHandle, log_event, unix_ms};
 use agatestair_schema::settings::ServeSettings;
 use error_stack::{Report, ResultExt};
+use rand::Rng;
 use slog::Logger;
 use tokio::net::UdpSocket;
 use tokio::runtime::Runtime;
@@ -20,18 +21,20 @@
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
+use crate::bulletins::send_bulletins;
+use crate::collect::send_digests;
 use crate::dialect::Dialect;
 use crate::directory::lifetime;
 use crate::events::{LEAVING, LEFT, MEMBER_CHANGED, ROW_MALFORMED, ROW_UNWRITTEN, STARTED};
-use crate::front::{Front, Listener, accept};
+use crate::front::{Behind, Front, Listener, accept};
 use crate::hub::Hub;
 use crate::learn::learn_caches;
 use crate::listen::listen;
 use crate::members::Member;
-use crate::news::News;
+use crate::news::{News, Outbox};
 use crate::node::NodeSettings;
 use crate::pool::Pool;
-use crate::pulse::{receive_pulses, send_pulses};
+use crate::pulse::{greet, receive_datagrams, send_pulses};
 use crate::reload::{Reload, retry_settings, watch_settings};
 use crate::store::{StoreClient, Table, Transaction};
 use crate::watch::follow;
@@ -54,9 +57,18 @@
 /// Pause after the own row could not be written, doubled each time.
 const ROW_PAUSE: Duration = Duration::from_millis(200);
 
-/// Longest such pause.
+/// Greetings to all others after the start, since datagrams are lost.
+const GREETINGS: u32 = 2;
+
+/// Time between two greetings.
+const GREETING_PAUSE: Duration = Duration::from_millis(300);
+
+/// Longest pause after the own row could not be written.
 const MAX_ROW_PAUSE: Duration = Duration::from_secs(2);
 
+/// Weights of instances are kept as whole thousandths of a core.
+const WEIGHT_SCALE: f64 = 1000.0;
+
 /// Why an instance could not start.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ServeError {
@@ -165,7 +177,9 @@
         metrics,
         log,
         news: News::default(),
-        behind: Notify::new(),
+        changes: Outbox::default(),
+        urgent: Notify::new(),
+        behind: Behind::default(),
         leaving: CancellationToken::new(),
         closing: CancellationToken::new(),
         open: Cell::new(0),
@@ -186,11 +200,13 @@
     }
     let socket = UdpSocket::bind(own.peers).await;
     let socket = Rc::new(socket.change_context(ServeError::Listen(own.peers))?);
-    spawn(receive_pulses(front.clone(), socket.clone()));
-    spawn(send_pulses(front.clone(), socket));
+    spawn(receive_datagrams(front.clone(), socket.clone()));
+    spawn(send_bulletins(front.clone(), socket.clone()));
+    spawn(send_digests(front.clone(), socket.clone()));
+    spawn(send_pulses(front.clone(), socket.clone()));
     spawn(follow(front.clone(), Table::Configuration));
     spawn(follow(front.clone(), Table::Endpoints));
-    spawn(join(front.clone(), own.clone()));
+    spawn(join(front.clone(), own.clone(), socket));
     spawn(learn_caches(front.clone()));
     spawn(sweep(front.clone()));
     spawn(watch_settings(front.clone(), reload, hangup));
@@ -216,6 +232,7 @@
         callers: parse_address("callers", &settings.listen.callers)?,
         peers: parse_address("peers", &settings.listen.peers)?,
         born: unix_ms(),
+        weight: (settings.machine.cpu_share * WEIGHT_SCALE) as u32,
     })
 }
 
@@ -225,20 +242,29 @@
 }
 
 fn node_settings(settings: &ServeSettings, own: Member) -> NodeSettings {
-    NodeSettings { own, board: BoardSettings::default(), retry: retry_settings(settings) }
+    NodeSettings {
+        own,
+        board: BoardSettings::default(),
+        retry: retry_settings(settings),
+        draw: rand::rng().random(),
+    }
 }
 
 /// Writes this instance's row into the store and learns of the others from theirs.
-async fn join(front: Rc<Front>, own: Member) {
+async fn join(front: Rc<Front>, own: Member, socket: Rc<UdpSocket>) {
     let mut pause = ROW_PAUSE;
     loop {
         match announce(&front, &own).await {
-            Ok(()) => return,
+            Ok(()) => break,
             Err(cause) => log_event!(front.log, ROW_UNWRITTEN, "error" => cause),
         }
         sleep(pause).await;
         pause = (pause * 2).min(MAX_ROW_PAUSE);
     }
+    for _ in 0..GREETINGS {
+        greet(&front, &socket).await;
+        sleep(GREETING_PAUSE).await;
+    }
 }
 
 async fn announce(front: &Front, own: &Member) -> Result<(), String> {
