Streams judged by whole events; a defect in one decision ends one task

- a stalled stream that sends a byte now and then was kept to its deadline, since any byte counted: only whole events count now (failed first);
- a stream that an endpoint ends in order within an event was passed on as complete: it is broken off, or resumed where it may be (failed first);
- a panic in one decision left the actor's loop unusable, so that every later request failed while the process lived on: the panic unwinds only the task that asked (failed first).
Tasks of the instance are started again, event 5034;

--- a/crates/serve/src/collect.rs
+++ b/crates/serve/src/collect.rs
@@ -20,7 +20,7 @@
 const FULL_WEIGHT: u32 = 250;
 
 /// Shortest time between two digests.
-const MIN_INTERVAL: Duration = Duration::from_millis(10);
+const MIN_INTERVAL: Duration = Duration::from_millis(15);
 
 /// Time after which a digest is sent although there is nothing to pass on.
 const HEARTBEAT: Duration = Duration::from_millis(120);
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -81,6 +81,9 @@
 /// A datagram could not be sent.
 pub const PULSE_UNSENT: Event =
     Event { number: 5033, level: Level::Debug, text: "datagram not sent" };
+/// A task of the instance ended by an unexpected error and is started again.
+pub const TASK_FAILED: Event =
+    Event { number: 5034, level: Level::Error, text: "task failed, started again" };
 /// All events of this crate.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -113,4 +116,5 @@
     ACCEPT_FAILED,
     PULSE_MALFORMED,
     PULSE_UNSENT,
+    TASK_FAILED,
 ];
--- a/crates/serve/src/front.rs
+++ b/crates/serve/src/front.rs
@@ -151,7 +151,7 @@
 }
 
 /// Accepts connections until the process ends.
-pub async fn accept(front: Rc<Front>, listener: TcpListener, kind: Listener) {
+pub async fn accept(front: Rc<Front>, listener: Rc<TcpListener>, kind: Listener) {
     loop {
         let most = (front.settings().machine.max_files * CALLER_SHARE) as usize;
         match listener.accept().await {
--- a/crates/serve/src/hub.rs
+++ b/crates/serve/src/hub.rs
@@ -1,6 +1,7 @@
 //! Access of tasks to the actor that holds the instance's state.
 
 use std::cell::RefCell;
+use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -27,6 +28,8 @@
     }
 
     /// Has the actor decide something, and returns what it decided.
+    ///
+    /// A decision that panics unwinds the task that asked for it; the actor goes on.
     pub fn ask<R: 'static>(&self, decide: impl FnOnce(&mut Node, Moment) -> R + 'static) -> R {
         let now = Instant::now();
         let micros = now.duration_since(self.start).as_micros();
@@ -35,10 +38,14 @@
         let slot = answer.clone();
         let mut core = self.core.borrow_mut();
         let decide: Decision = Box::new(move |node| {
-            *slot.borrow_mut() = Some(decide(node, moment));
+            // The actor's loop could not be used again after a panic.
+            let decided = catch_unwind(AssertUnwindSafe(|| decide(node, moment)));
+            *slot.borrow_mut() = Some(decided);
         });
         call!([self.node], decide(decide));
         core.run(now, false);
-        answer.take().expect("the actor lives as long as the hub")
+        drop(core);
+        let decided = answer.take().expect("the actor lives as long as the hub");
+        decided.unwrap_or_else(|panic| resume_unwind(panic))
     }
 }
--- a/crates/serve/src/pulse.rs
+++ b/crates/serve/src/pulse.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::bulletins::note_bulletin;
-use crate::datagram::{Datagram, MAX_BYTES, Pulse};
+use crate::datagram::{Datagram, Digest, MAX_BYTES, Pulse};
 use crate::events::{MEMBER_CHANGED, PULSE_MALFORMED, PULSE_UNSENT};
 use crate::front::Front;
 use crate::node::Heard;
@@ -101,6 +101,12 @@
     !pulse.reads.is_empty() || pulse.loads.iter().any(|load| load.unread >= NOTABLE_TOKENS)
 }
 
+/// Whether a digest tells of long prompts that are yet to be read.
+fn is_notable(digest: &Digest) -> bool {
+    let mut loads = digest.sums.iter().flat_map(|sums| &sums.loads);
+    loads.any(|load| load.unread >= NOTABLE_TOKENS)
+}
+
 /// Tells all others that this instance is there, before collectors know of it.
 pub async fn greet(front: &Front, socket: &UdpSocket) {
     let composed = front.hub.ask(|node, now| {
@@ -189,6 +195,9 @@
                 note_heard(&front, heard);
             }
             Ok(Datagram::Digest(digest)) => {
+                if is_notable(&digest) {
+                    front.urgent.notify_one();
+                }
                 let heard = front.hub.ask(move |node, now| node.hear_digest(&digest, now));
                 heard.into_iter().for_each(|heard| note_heard(&front, heard));
             }
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -90,9 +90,11 @@
     pieces: &mpsc::Sender<Piece>,
 ) -> Result<(), Stop> {
     let stall = (call.route.pause * STALL_PAUSES).max(call.route.objective * 2);
+    // Bytes that complete no event do not show that a stream goes on.
+    let mut last = Instant::now();
     loop {
         let resumable = call.route.kind.may_repeat() && call.runs < call.route.attempts;
-        let until = if resumable { (Instant::now() + stall).min(call.limit) } else { call.limit };
+        let until = if resumable { (last + stall).min(call.limit) } else { call.limit };
         let frame = tokio::select! {
             frame = timeout_at(until, run.body.frame()) => frame,
             () = pieces.closed() => return Err(Stop::Left),
@@ -102,6 +104,10 @@
             Err(_) => return Err(Stop::Broken("stalled".to_owned())),
             Ok(None) => {
                 let rest = events.rest();
+                // Only a body that is made of events must end with a whole one.
+                if events.events > 0 && !rest.trim_ascii().is_empty() {
+                    return Err(Stop::Broken("the stream ended within an event".to_owned()));
+                }
                 return if rest.is_empty() { Ok(()) } else { hand_on(pieces, rest).await };
             }
             Ok(Some(Err(error))) => return Err(Stop::Broken(error.to_string())),
@@ -111,6 +117,8 @@
         let whole = whole.map_err(|size| Stop::Broken(format!("event of {size} bytes")))?;
         if !whole.is_empty() {
             hand_on(pieces, whole).await?;
+            // A caller that reads slowly does not make the stream a stalled one.
+            last = Instant::now();
         }
     }
 }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -25,7 +25,9 @@
 use crate::collect::send_digests;
 use crate::dialect::Dialect;
 use crate::directory::lifetime;
-use crate::events::{LEAVING, LEFT, MEMBER_CHANGED, ROW_MALFORMED, ROW_UNWRITTEN, STARTED};
+use crate::events::{
+    LEAVING, LEFT, MEMBER_CHANGED, ROW_MALFORMED, ROW_UNWRITTEN, STARTED, TASK_FAILED,
+};
 use crate::front::{Behind, Front, Listener, accept};
 use crate::hub::Hub;
 use crate::learn::learn_caches;
@@ -36,7 +38,7 @@
 use crate::pool::Pool;
 use crate::pulse::{greet, receive_datagrams, send_pulses};
 use crate::reload::{Reload, retry_settings, watch_settings};
-use crate::store::{StoreClient, Table, Transaction};
+use crate::store::{StoreClient, StoreFault, Table, Transaction};
 use crate::watch::follow;
 
 /// Lifetimes of a directory's answer for which some callers use it.
@@ -57,6 +59,13 @@
 /// Pause after the own row could not be written, doubled each time.
 const ROW_PAUSE: Duration = Duration::from_millis(200);
 
+/// Pause before a task that failed is started again.
+const RESTART_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time over which the instances of a new system write their rows: the store takes some 200 writes
+/// to one table a second.
+const ROW_SPREAD: Duration = Duration::from_millis(1500);
+
 /// Greetings to all others after the start, since datagrams are lost.
 const GREETINGS: u32 = 2;
 
@@ -196,19 +205,23 @@
         let Some(address) = address else { continue };
         let address = parse_address(name, address)?;
         let listener = listen(address).change_context(ServeError::Listen(address))?;
-        spawn(accept(front.clone(), listener, kind));
+        let listener = Rc::new(listener);
+        keep(&front, name, move |front| accept(front, listener.clone(), kind));
     }
     let socket = UdpSocket::bind(own.peers).await;
     let socket = Rc::new(socket.change_context(ServeError::Listen(own.peers))?);
-    spawn(receive_datagrams(front.clone(), socket.clone()));
-    spawn(send_bulletins(front.clone(), socket.clone()));
-    spawn(send_digests(front.clone(), socket.clone()));
-    spawn(send_pulses(front.clone(), socket.clone()));
-    spawn(follow(front.clone(), Table::Configuration));
-    spawn(follow(front.clone(), Table::Endpoints));
-    spawn(join(front.clone(), own.clone(), socket));
-    spawn(learn_caches(front.clone()));
-    spawn(sweep(front.clone()));
+    let [receiving, telling, reporting, collecting, joining] =
+        std::array::from_fn(|_| socket.clone());
+    keep(&front, "datagrams", move |front| receive_datagrams(front, receiving.clone()));
+    keep(&front, "bulletins", move |front| send_bulletins(front, telling.clone()));
+    keep(&front, "digests", move |front| send_digests(front, collecting.clone()));
+    keep(&front, "pulses", move |front| send_pulses(front, reporting.clone()));
+    keep(&front, "configuration", |front| follow(front, Table::Configuration));
+    keep(&front, "endpoints", |front| follow(front, Table::Endpoints));
+    let member = own.clone();
+    keep(&front, "members", move |front| join(front, member.clone(), joining.clone()));
+    keep(&front, "caches", learn_caches);
+    keep(&front, "sweep", sweep);
     spawn(watch_settings(front.clone(), reload, hangup));
     spawn(write_log(buffer.clone()));
     log_event!(front.log, STARTED, "callers" => own.callers.to_string(), "born" => own.born);
@@ -221,6 +234,21 @@
     Ok(())
 }
 
+/// Starts a task, and starts it again if it ends by an unexpected error.
+fn keep<T: Future<Output = ()> + 'static>(
+    front: &Rc<Front>,
+    name: &'static str,
+    task: impl Fn(Rc<Front>) -> T + 'static,
+) {
+    let front = front.clone();
+    spawn(async move {
+        while let Err(error) = tokio::task::spawn_local(task(front.clone())).await {
+            log_event!(front.log, TASK_FAILED, "task" => name, "error" => error.to_string());
+            sleep(RESTART_PAUSE).await;
+        }
+    });
+}
+
 fn spawn(task: impl Future<Output = ()> + 'static) {
     tokio::task::spawn_local(task);
 }
@@ -253,33 +281,49 @@
 /// Writes this instance's row into the store and learns of the others from theirs.
 async fn join(front: Rc<Front>, own: Member, socket: Rc<UdpSocket>) {
     let mut pause = ROW_PAUSE;
-    loop {
-        match announce(&front, &own).await {
-            Ok(()) => break,
-            Err(cause) => log_event!(front.log, ROW_UNWRITTEN, "error" => cause),
-        }
+    if front.settings().bootstrap {
+        sleep(ROW_SPREAD.mul_f64(rand::rng().random::<f64>())).await;
+    } else if let Ok(true) = learn_members(&front, &own).await {
+        // The row of the former process names the same addresses.
+        return greet_all(&front, &socket).await;
+    }
+    while let Err(fault) = announce(&front, &own).await {
+        log_event!(front.log, ROW_UNWRITTEN, "error" => fault.to_string());
         sleep(pause).await;
         pause = (pause * 2).min(MAX_ROW_PAUSE);
     }
+    greet_all(&front, &socket).await;
+}
+
+async fn greet_all(front: &Front, socket: &UdpSocket) {
     for _ in 0..GREETINGS {
-        greet(&front, &socket).await;
+        greet(front, socket).await;
         sleep(GREETING_PAUSE).await;
     }
 }
 
-async fn announce(front: &Front, own: &Member) -> Result<(), String> {
-    let value = serde_json::to_vec(own).map_err(|error| error.to_string())?;
+async fn announce(front: &Front, own: &Member) -> Result<(), StoreFault> {
+    let value = serde_json::to_vec(own).expect("names and addresses are JSON");
     let transaction = Transaction {
         table: Table::Instances,
         expected: Vec::new(),
         writes: vec![(own.name.clone(), value)],
         removals: Vec::new(),
     };
-    (front.store.commit)(transaction).await.map_err(|fault| fault.to_string())?;
-    let rows = (front.store.read)(Table::Instances).await.map_err(|fault| fault.to_string())?;
+    (front.store.commit)(transaction).await?;
+    learn_members(front, own).await.map(drop)
+}
+
+/// Reads the rows of the others; returns whether this instance's own row is there as well.
+async fn learn_members(front: &Front, own: &Member) -> Result<bool, StoreFault> {
+    let rows = (front.store.read)(Table::Instances).await?;
+    let mut written = false;
     for row in rows.rows {
-        let Some(value) = row.value.filter(|_| row.key != own.name) else { continue };
+        let Some(value) = row.value else { continue };
         match serde_json::from_slice::<Member>(&value) {
+            Ok(member) if member.name == own.name => {
+                written = Member { born: own.born, ..member } == *own;
+            }
             Ok(member) => {
                 log_event!(front.log, MEMBER_CHANGED, "member" => &*member.name, "row" => row.version);
                 front.hub.ask(move |node, now| node.members.note_row(member, now));
@@ -288,7 +332,7 @@
                 "row" => &*row.key, "error" => error.to_string()),
         }
     }
-    Ok(())
+    Ok(written)
 }
 
 async fn sweep(front: Rc<Front>) {
--- a/crates/serve/tests/parts.rs
+++ b/crates/serve/tests/parts.rs
@@ -9,8 +9,8 @@
 use agatestair_policy::{EndpointKey, Moment};
 use agatestair_serve::{
     Bulletin, BulletinNews, BulletinTable, Configuration, Datagram, Digest, DomainSums,
-    EventSplitter, Fleet, Identity, Kind, Limits, Member, MemberState, Members, News, Pulse,
-    PulseLoad, Route, Service, TableState, Target, explain,
+    EventSplitter, Fleet, Hub, Identity, Kind, Limits, Member, MemberState, Members, News, Node,
+    NodeSettings, Pulse, PulseLoad, Route, Service, TableState, Target, explain,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -431,7 +431,6 @@
 
 #[gtest]
 fn a_configuration_never_goes_back() {
-    use agatestair_serve::{Node, NodeSettings};
     let settings = NodeSettings {
         own: member("i1", "a", 1),
         board: BoardSettings::default(),
@@ -446,3 +445,18 @@
     let name: Arc<str> = "s".into();
     expect_that!(node.board.members(&name), is_empty());
 }
+
+#[gtest]
+fn an_unexpected_error_in_one_decision_ends_no_other() {
+    let settings = NodeSettings {
+        own: member("i1", "a", 1),
+        board: BoardSettings::default(),
+        retry: agatestair_policy::RetrySettings::default(),
+        draw: 0.5,
+    };
+    let hub = Hub::new(settings);
+    let ask = || hub.ask(|_, _| -> u8 { panic!("a defect in one decision") });
+    let failed = std::panic::catch_unwind(std::panic::AssertUnwindSafe(ask));
+    expect_that!(failed.is_err(), eq(true));
+    expect_that!(hub.ask(|node, _| node.version()), none());
+}
