Digests fit the links of small instances; collectors are found again after all were lost

Domain sums were told in every round in which an endpoint's pace was known, whether it had changed or not.

Change: silence of collectors counts from 800 ms on, small instances pass on every 320 ms, paces are told where an endpoint turns slow or usual, reports tell for 200 ms that a load is gone. Test: digests_of_small_instances_fit_their_links, 2.0 MB/s before, within 1.25 MB/s after. The case "both and the next two end" of the_loss_of_collectors_is_made_up_for took 7 s before, since without collectors nobody was heard and nobody was chosen; 2.3 s after.

--- a/crates/serve/src/collect.rs
+++ b/crates/serve/src/collect.rs
@@ -6,21 +6,13 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, timeout_at};
 
+use crate::collectors::interval;
 use crate::datagram::Datagram;
 use crate::front::Front;
 use crate::pulse::send_all;
 
-/// Time between two digests of an instance whose weight is at least [`FULL_WEIGHT`].
-const INTERVAL: Duration = Duration::from_millis(40);
-
-/// Longest such time, at the smallest instances.
-const MAX_INTERVAL: Duration = Duration::from_millis(120);
-
-/// Weight from which on an instance can send digests in every interval, in thousandths of a core.
-const FULL_WEIGHT: u32 = 250;
-
-/// Shortest time between two digests.
-const MIN_INTERVAL: Duration = Duration::from_millis(15);
+/// Share of the usual time between two digests after which an urgent one may follow.
+const URGENT_SHARE: f64 = 0.4;
 
 /// Time after which a digest is sent although there is nothing to pass on.
 const HEARTBEAT: Duration = Duration::from_millis(120);
@@ -45,14 +37,8 @@
         }
         round += 1;
         let next = Instant::now() + interval;
-        sleep(MIN_INTERVAL).await;
+        sleep(interval.mul_f64(URGENT_SHARE)).await;
         // An end by the time is the usual one.
         drop(timeout_at(next, front.urgent.notified()).await);
     }
 }
-
-/// Time between two digests of an instance with a weight.
-fn interval(weight: u32) -> Duration {
-    let factor = f64::from(FULL_WEIGHT) / f64::from(weight.max(1));
-    INTERVAL.mul_f64(factor.max(1.0)).min(MAX_INTERVAL)
-}
--- a/crates/serve/src/collection.rs
+++ b/crates/serve/src/collection.rs
@@ -18,6 +18,12 @@
 /// Time after which a sum that was told to be empty is forgotten.
 const FORGOTTEN: Duration = Duration::from_millis(400);
 
+/// Pace from which on an endpoint counts as slow. That others are not is what all expect.
+const SLOW: f64 = 1.3;
+
+/// Time after which it is told again that an endpoint is slow: half the time for which that counts.
+const SLOW_REFRESH: Duration = Duration::from_millis(150);
+
 /// When the receivers of digests were last told of an instance.
 #[derive(Clone, Debug, Default)]
 struct Introductions {
@@ -66,6 +72,8 @@
 struct ToldSum {
     load: Load,
     at: Moment,
+    /// Whether the endpoint was told to be slow.
+    slow: bool,
 }
 
 /// What a collector has heard and not passed on yet.
@@ -133,14 +141,21 @@
         let told = &mut self.told;
         let loads = totals.iter().filter(|total| {
             let known = told.get(&total.endpoint);
+            let slow = total.pace.is_some_and(|(pace, _)| pace >= SLOW);
             // A lost sum is made up for by the other collector, or by the next refreshment.
             let due = match known {
-                None => !total.load.is_empty(),
-                Some(known) => known.load != total.load || now.since(known.at) >= REFRESH,
+                None => slow || !total.load.is_empty(),
+                Some(known) => {
+                    let age = now.since(known.at);
+                    let paced = total.pace.is_some()
+                        && (slow != known.slow || (slow && age >= SLOW_REFRESH));
+                    known.load != total.load || age >= REFRESH || paced
+                }
             };
-            let due = due || total.pace.is_some();
             if due {
-                told.insert(total.endpoint, ToldSum { load: total.load, at: now });
+                // Without a word on its pace an endpoint is no longer taken to be slow.
+                let sum = ToldSum { load: total.load, at: now, slow };
+                told.insert(total.endpoint, sum);
             }
             due
         });
--- a/crates/serve/src/collectors.rs
+++ b/crates/serve/src/collectors.rs
@@ -15,8 +15,28 @@
 /// Collectors of a failure domain: one may be lost at any time.
 const COLLECTORS: usize = 2;
 
-/// Silence after which a collector is taken to be lost: three of its emptiest rounds.
-const SILENCE: Duration = Duration::from_millis(400);
+/// Silence after which a collector is taken to be lost: three rounds of the smallest instance. An
+/// instance without processor time for a while would otherwise take all others to be lost.
+const SILENCE: Duration = Duration::from_millis(800);
+
+/// Time between two digests of an instance whose weight is at least [`FULL_WEIGHT`].
+const INTERVAL: Duration = Duration::from_millis(40);
+
+/// The same at smaller instances, whose links are narrow: 60 members get 5 kB each in a fleet of
+/// 300, 1 MB/s.
+const LONG_INTERVAL: Duration = Duration::from_millis(320);
+
+/// Time for which an instance reports that a load is gone: five reports to each of two collectors.
+pub const REPORT_CLEARED: Duration = Duration::from_millis(200);
+
+/// Weight from which on an instance can send digests in every short interval, in thousandths of a
+/// core.
+const FULL_WEIGHT: u32 = 250;
+
+/// Time between two digests of an instance with a weight.
+pub fn interval(weight: u32) -> Duration {
+    if weight >= FULL_WEIGHT { INTERVAL } else { LONG_INTERVAL }
+}
 
 /// Time for which another one is used in its place.
 const SUSPICION: Duration = Duration::from_secs(2);
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -44,7 +44,7 @@
 mod watchers;
 
 pub use collection::Collection;
-pub use collectors::Collectors;
+pub use collectors::{Collectors, REPORT_CLEARED, interval};
 pub use configuration::{Configuration, EngineFacts, Kind, Limits, Match, Route, Service, Target};
 pub use cursor::{Cursor, TableNews};
 pub use datagram::{
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -95,6 +95,11 @@
     fn is_candidate(&self, now: Moment) -> bool {
         !self.state.leaving && now.since(self.heard.unwrap_or(self.since)) < SILENCE
     }
+
+    /// Whether it may collect. Without collectors nobody is heard, so silence alone tells little.
+    fn may_collect(&self, now: Moment) -> bool {
+        !self.state.leaving && now.since(self.heard.unwrap_or(self.since)) < RARE
+    }
 }
 
 /// Instances that get the same datagrams.
@@ -203,12 +208,14 @@
 
     /// Ranks of the others that are alive, or may have just begun to be heard.
     pub fn ranks(&self, now: Moment) -> impl Iterator<Item = Rank> {
-        self.candidates(now).map(|known| known.member.rank())
+        let candidates = self.known.values().filter(move |known| known.is_candidate(now));
+        candidates.map(|known| known.member.rank())
     }
 
-    /// Ranks of the others of a failure domain that are alive, with their addresses.
+    /// Ranks of the others of a failure domain that may collect, with their addresses.
     pub fn near(&self, domain: &str, now: Moment) -> Vec<(Rank, SocketAddr)> {
-        let near = self.candidates(now).filter(|known| &*known.member.domain == domain);
+        let near = self.known.values().filter(|known| &*known.member.domain == domain);
+        let near = near.filter(|known| known.may_collect(now));
         near.map(|known| (known.member.rank(), known.member.peers)).collect()
     }
 
@@ -229,9 +236,9 @@
             domains.entry(&known.member.domain).or_default().push(known);
         }
         let chosen = domains.into_values().filter_map(|mut members| {
-            members.sort_unstable_by_key(|known| known.member.rank());
+            members.sort_unstable_by_key(|known| (!known.is_candidate(now), known.member.rank()));
             let alive: Vec<&Known> =
-                members.iter().filter(|known| known.is_candidate(now)).copied().collect();
+                members.iter().filter(|known| known.may_collect(now)).copied().collect();
             let retry = || {
                 let turn = (round / RARE_SENDS) as usize % members.len();
                 Some(members[turn]).filter(|_| round.is_multiple_of(RARE_SENDS))
@@ -248,10 +255,6 @@
         domains.into_iter().filter(|domain| *domain != own).map(digest).collect()
     }
 
-    fn candidates(&self, now: Moment) -> impl Iterator<Item = &Known> {
-        self.known.values().filter(move |known| known.is_candidate(now))
-    }
-
     /// Whether the fleet is so large that a few instances act for all.
     pub fn is_large(&self) -> bool {
         self.known.len() >= LARGE_FLEET
--- a/crates/serve/src/pulse.rs
+++ b/crates/serve/src/pulse.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::bulletins::note_bulletin;
+use crate::collectors::REPORT_CLEARED;
 use crate::datagram::{Datagram, Digest, MAX_BYTES, Pulse};
 use crate::events::{MEMBER_CHANGED, PULSE_MALFORMED, PULSE_UNSENT};
 use crate::front::Front;
@@ -73,7 +74,7 @@
 /// Reports to the collectors if there is something new.
 async fn report(front: &Front, socket: &UdpSocket, told: &mut Told, round: u64) {
     let pulse =
-        front.hub.ask(|node, now| node.pulse(CLEARED_TIME, BUSY_INTERVAL * READ_ROUNDS, now));
+        front.hub.ask(|node, now| node.pulse(REPORT_CLEARED, BUSY_INTERVAL * READ_ROUNDS, now));
     if round - told.round >= QUIET_ROUNDS || told.pulse.as_ref() != Some(&pulse) {
         send_report(front, socket, pulse.clone()).await;
         *told = Told { pulse: Some(pulse), round };
