A change that the store passed over is read whole

By the code: a call that waits meanwhile ends without rows and with a version after the change; the instance went on from there, said in its bulletins that nothing lies before, and the others believed it, although a later bulletin named the change.

Change: what counts is the latest change seen, not how far the store's answers reach. If another instance has seen a later one that should have been among them, the table is read whole, once a change and again while the reading is from before it. Test a_change_that_the_store_passed_over_is_read_whole, failing first by construction (the state did not exist).

--- a/crates/serve/src/bulletins.rs
+++ b/crates/serve/src/bulletins.rs
@@ -6,10 +6,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use agatestair_runtime::log_event;
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::datagram::{Bulletin, BulletinNews, BulletinTable, Datagram, TableState};
+use crate::events::WATCHING;
 use crate::front::Front;
 use crate::pulse::send_all;
 use crate::store::Table;
@@ -25,7 +27,17 @@
 /// Sends bulletins while this instance follows the store for others.
 pub async fn send_bulletins(front: Rc<Front>, socket: Rc<UdpSocket>) {
     let mut round = 0;
+    let mut watched = false;
     loop {
+        let (watching, age) = front.hub.ask(|node, now| {
+            let watching = node.members.is_large() && node.watchers.watching();
+            (watching, node.watchers.answer_age(now))
+        });
+        if watching != watched {
+            log_event!(front.log, WATCHING, "watching" => watching,
+                "answer_age_ms" => age.as_millis() as u64);
+            watched = watching;
+        }
         send_bulletin(&front, &socket, None, round).await;
         round += 1;
         let next = Instant::now() + INTERVAL;
--- a/crates/serve/src/collect.rs
+++ b/crates/serve/src/collect.rs
@@ -3,11 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use agatestair_runtime::log_event;
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::collectors::interval;
 use crate::datagram::Datagram;
+use crate::events::COLLECTING;
 use crate::front::Front;
 use crate::pulse::send_all;
 
@@ -23,8 +25,14 @@
     let interval = interval(weight);
     let mut round = 0;
     let mut told = Instant::now();
+    let mut collected = false;
     loop {
         let digests = front.hub.ask(move |node, now| node.digests(round, now));
+        if digests.is_some() != collected {
+            collected = digests.is_some();
+            let members = digests.as_ref().map(|[(_, near), _]| near.len());
+            log_event!(front.log, COLLECTING, "collecting" => collected, "members" => members);
+        }
         let quiet = told.elapsed() >= HEARTBEAT;
         for (digest, audience) in digests.into_iter().flatten() {
             let empty =
--- a/crates/serve/src/cursor.rs
+++ b/crates/serve/src/cursor.rs
@@ -24,7 +24,9 @@
     pub tip: u64,
     /// No change lies between this version and `known`.
     base: u64,
-    /// Since when another instance is known to know of a later change.
+    /// Version of the latest change that another instance has seen.
+    heard: u64,
+    /// Since when that one is missing here.
     behind: Option<Moment>,
     /// Whether the store has forgotten changes that were asked for.
     forgotten: bool,
@@ -42,6 +44,10 @@
         if whole {
             let from = last.filter(|_| !self.forgotten).unwrap_or(changes.version);
             self.base = from;
+            if changes.version >= self.heard {
+                // It may have been a removal, which a whole reading does not show.
+                self.tip = self.tip.max(self.heard);
+            }
             self.advance(from);
             return None;
         }
@@ -81,11 +87,18 @@
 
     /// Another instance has seen a change with a version.
     pub fn note_tip(&mut self, tip: u64, now: Moment) {
-        if self.known.is_some_and(|known| known < tip) {
+        if self.known.is_some() && tip > self.tip {
+            self.heard = self.heard.max(tip);
             self.behind.get_or_insert(now);
         }
     }
 
+    /// Whether the change that is missing here should have been among the store's answers: a store
+    /// that loses its history may pass a change over. Only a whole reading shows it then.
+    pub fn is_doubtful(&self) -> bool {
+        self.behind.is_some() && self.known.is_some_and(|known| self.heard <= known)
+    }
+
     /// Since when a change is known to be missing here.
     pub fn behind(&self) -> Option<Moment> {
         self.behind
@@ -99,6 +112,8 @@
 
     fn advance(&mut self, version: u64) {
         self.known = self.known.max(Some(version));
-        self.behind = None;
+        if self.tip >= self.heard {
+            self.behind = None;
+        }
     }
 }
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -84,6 +84,12 @@
 /// A task of the instance ended by an unexpected error and is started again.
 pub const TASK_FAILED: Event =
     Event { number: 5034, level: Level::Error, text: "task failed, started again" };
+/// This instance begins or ceases to follow the store for others.
+pub const WATCHING: Event =
+    Event { number: 5035, level: Level::Info, text: "following the store for others" };
+/// This instance begins or ceases to collect for its failure domain.
+pub const COLLECTING: Event =
+    Event { number: 5036, level: Level::Info, text: "collecting for the failure domain" };
 /// All events of this crate.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -117,4 +123,6 @@
     PULSE_MALFORMED,
     PULSE_UNSENT,
     TASK_FAILED,
+    WATCHING,
+    COLLECTING,
 ];
--- a/crates/serve/src/watch.rs
+++ b/crates/serve/src/watch.rs
@@ -89,7 +89,9 @@
                 expire(&front);
                 let changed = !changes.rows.is_empty();
                 note_answer(&front, table, changes, call == StoreCall::Whole);
-                if changed {
+                // A store that answers from an old state is not asked in a rush either.
+                let behind = front.hub.ask(move |node, _| node.cursor(table).behind().is_some());
+                if changed || behind {
                     sleep(GATHER).await;
                 }
             }
@@ -132,13 +134,15 @@
             (cursor.known, cursor.behind().map(|since| now.since(since)), duty, node.fleet.due(now))
         });
         let Some(after) = known else { return StoreCall::Whole };
+        if behind.is_some_and(|behind| behind >= CATCH_UP) {
+            return catch_up(front, table).unwrap_or(StoreCall::Whole);
+        }
         // The store is asked again just when lapsed entries have had their time.
         let due = due.filter(|_| table == Table::Endpoints);
         let due = due.map_or(Duration::MAX, |due| due + DUE_MARGIN);
         let wait = match duty {
             Duty::Loose => LONG_WAIT,
             Duty::Close => wait(front),
-            Duty::Rest if behind.is_some_and(|behind| behind >= CATCH_UP) => Duration::ZERO,
             Duty::Rest if asked.elapsed() >= SAFETY => Duration::ZERO,
             Duty::Rest => {
                 let rest = behind.map_or(LOOK, |behind| CATCH_UP - behind);
@@ -153,6 +157,18 @@
     }
 }
 
+/// The call that brings a change that others know of, `None` if none is missing.
+fn catch_up(front: &Front, table: Table) -> Option<StoreCall> {
+    front.hub.ask(move |node, _| {
+        let cursor = node.cursor(table);
+        cursor.behind()?;
+        if cursor.is_doubtful() {
+            return Some(StoreCall::Whole);
+        }
+        cursor.known.map(|after| StoreCall::Changes { after, wait: Duration::ZERO })
+    })
+}
+
 /// Waits until others know of a change that does not arrive here.
 async fn missed(front: &Front, table: Table) -> StoreCall {
     loop {
@@ -161,12 +177,8 @@
             return StoreCall::Whole;
         }
         sleep(CATCH_UP).await;
-        let after = front.hub.ask(move |node, _| {
-            let cursor = node.cursor(table);
-            cursor.known.filter(|_| cursor.behind().is_some())
-        });
-        if let Some(after) = after {
-            return StoreCall::Changes { after, wait: Duration::ZERO };
+        if let Some(call) = catch_up(front, table) {
+            return call;
         }
     }
 }
--- a/crates/serve/src/watchers.rs
+++ b/crates/serve/src/watchers.rs
@@ -82,6 +82,11 @@
         self.heard.values().any(|heard| heard.fresh(now))
     }
 
+    /// Time since the store answered any of them, as far as is known.
+    pub fn answer_age(&self, now: Moment) -> Duration {
+        now.since(self.answered)
+    }
+
     /// Whether this instance is one of them.
     pub fn watching(&self) -> bool {
         self.watching
--- a/crates/serve/tests/watch.rs
+++ b/crates/serve/tests/watch.rs
@@ -328,6 +328,26 @@
     expect_that!(cursor.behind(), some(eq(Moment(5))));
 }
 
+#[gtest]
+fn a_change_that_the_store_passed_over_is_read_whole() {
+    let whole = |version| Changes { rows: vec![row("one", 10, Some("a"))], version };
+    let mut cursor = Cursor::default();
+    cursor.note_answer(&whole(10), true);
+    // While its history is lost the store tells of no change, and goes on from after it.
+    cursor.note_answer(&Changes { rows: Vec::new(), version: 30 }, false);
+    cursor.note_tip(20, Moment(1));
+    expect_that!(cursor.behind(), some(eq(Moment(1))));
+    expect_that!(cursor.is_doubtful(), eq(true));
+    // A reading from before the change brings nothing.
+    cursor.note_answer(&whole(15), true);
+    expect_that!(cursor.behind(), some(anything()));
+    // A later one brings it, or shows that it was a removal.
+    cursor.note_answer(&whole(35), true);
+    expect_that!(cursor.behind(), none());
+    cursor.note_tip(20, Moment(2));
+    expect_that!(cursor.behind(), none());
+}
+
 #[gtest]
 fn an_instance_that_has_read_nothing_yet_takes_no_news() {
     let mut cursor = Cursor::default();
