--- a/crates/policy/src/assign.rs
+++ b/crates/policy/src/assign.rs
@@ -108,7 +108,7 @@
 }
 
 /// Mixes the hashes of an item and an instance into the item's preference for the instance.
-pub(crate) fn score(item: u64, instance: u64) -> u64 {
+pub fn score(item: u64, instance: u64) -> u64 {
     let mut mixed = item ^ instance.rotate_left(32);
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/serve/src/learn.rs
+++ b/crates/serve/src/learn.rs
@@ -1,4 +1,5 @@
-//! What engines keep of earlier prompts, asked once after the start.
+//! What engines keep of earlier prompts, asked once after the start: by every instance of a small
+//! fleet, by two of a large one, which tell the others.
 //!
 //! While all instances were down, nobody followed what the engines read. Without this, prompts
 //! would look longer than they are to read, and be refused for it.
@@ -7,7 +8,6 @@
 use std::time::Duration;
 
 use agatestair_policy::EndpointKey;
-use agatestair_policy::board::{Seat, Stage};
 use agatestair_runtime::log_event;
 use rand::Rng;
 use tokio::time::sleep;
@@ -37,11 +37,7 @@
         sleep(LOOK).await;
     }
     sleep(SETTLING + SPREAD.mul_f64(rand::rng().random::<f64>())).await;
-    let readers = front.hub.ask(|node, _| {
-        let reads = |seat: &Seat| seat.facts.stage == Some(Stage::Prefill) && !seat.facts.leaving;
-        let readers = node.board.seats.iter().filter(|(_, seat)| reads(seat));
-        readers.map(|(key, seat)| (key, seat.facts.clone())).collect::<Vec<_>>()
-    });
+    let readers = front.hub.ask(|node, now| node.engines_to_ask(now));
     for (key, facts) in readers {
         match learn(&front, key, facts.address).await {
             Ok(parts) => {
@@ -66,6 +62,6 @@
     }
     let parts = (front.dialect.read_cache)(answer.body()).map_err(|fault| fault.to_string())?;
     let count = parts.len();
-    front.hub.ask(move |node, now| node.board.note_read(key, &parts, now));
+    front.hub.ask(move |node, now| node.note_kept(key, &parts, now));
     Ok(count)
 }
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use agatestair_policy::Moment;
-use agatestair_policy::assign::digest;
+use agatestair_policy::assign::{digest, score};
 use serde::{Deserialize, Serialize};
 
 use crate::watchers::Rank;
@@ -41,6 +41,9 @@
 /// the calls of all cost little, and nobody depends on others.
 const LARGE_FLEET: usize = 24;
 
+/// Instances of a large fleet that ask one endpoint something: one may be lost meanwhile.
+const ASKERS: usize = 2;
+
 /// Instances that a directory's answer names at most.
 const MAX_NAMED: usize = 64;
 
@@ -255,6 +258,13 @@
         domains.into_iter().filter(|domain| *domain != own).map(digest).collect()
     }
 
+    /// Whether this instance is one of the few that ask an endpoint something on behalf of all.
+    pub fn is_asker(&self, own: &str, endpoint: u64, now: Moment) -> bool {
+        let mine = score(endpoint, digest(own));
+        let others = self.known.iter().filter(|(_, known)| known.is_candidate(now));
+        others.filter(|(key, _)| score(endpoint, **key) > mine).count() < ASKERS
+    }
+
     /// Whether the fleet is so large that a few instances act for all.
     pub fn is_large(&self) -> bool {
         self.known.len() >= LARGE_FLEET
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -11,7 +11,7 @@
 
 use agatestair_policy::assign::digest;
 use agatestair_policy::board::{
-    Board, BoardSettings, Choice, Denial, Load, Part, SeatFacts, Stage, Wanted,
+    Board, BoardSettings, Choice, Denial, Load, Part, Seat, SeatFacts, Stage, Wanted,
 };
 use agatestair_policy::{EndpointKey, Moment, RetryBudget, RetrySettings};
 use stakker::CX;
@@ -322,6 +322,29 @@
         }
     }
 
+    /// Engines that read prompts and that this instance asks what they keep of earlier ones: all of
+    /// them in a small fleet.
+    pub fn engines_to_ask(&self, now: Moment) -> Vec<(EndpointKey, SeatFacts)> {
+        let large = self.members.is_large();
+        let own = &self.settings.own.name;
+        let asked = |seat: &Seat| {
+            seat.facts.stage == Some(Stage::Prefill)
+                && !seat.facts.leaving
+                && (!large || self.members.is_asker(own, seat.digest, now))
+        };
+        let asked = self.board.seats.iter().filter(|(_, seat)| asked(seat));
+        asked.map(|(key, seat)| (key, seat.facts.clone())).collect()
+    }
+
+    /// An engine has told what it keeps; in a large fleet the others are told.
+    pub fn note_kept(&mut self, key: EndpointKey, parts: &[Part], now: Moment) {
+        if self.members.is_large() {
+            self.note_read(key, parts, now);
+        } else {
+            self.board.note_read(key, parts, now);
+        }
+    }
+
     /// Prompts' parts that endpoints got from this instance within a time.
     fn tell_reads(&mut self, within: Duration, now: Moment) -> Vec<(u64, Part)> {
         self.reads.retain(|read| now.since(read.at) <= within);
--- a/crates/serve/tests/parts.rs
+++ b/crates/serve/tests/parts.rs
@@ -304,6 +304,25 @@
     expect_that!(Members::default().is_reader("alone", now), eq(true));
 }
 
+#[gtest]
+fn an_engine_is_asked_by_two_instances_however_many_there_are() {
+    let now = Moment(10_000_000);
+    for size in [30, 300] {
+        let names: Vec<String> = (0..size).map(|number| format!("i{number}")).collect();
+        let mut asked = [0; 40];
+        for own in &names {
+            let mut members = Members::default();
+            for name in names.iter().filter(|name| *name != own) {
+                members.note_heard(member(name, "a", 1), READY, now);
+            }
+            for (engine, asked) in asked.iter_mut().enumerate() {
+                *asked += usize::from(members.is_asker(own, engine as u64 * 7919, now));
+            }
+        }
+        expect_that!(asked, eq([2; 40]), "{size} instances");
+    }
+}
+
 #[gtest]
 fn what_an_instance_sends_is_bounded_at_any_size() {
     let now = Moment(10_000_000);
