Whoever is asked collects; instances that are gone are forgotten

Found on reading the change again: an instance that takes the fleet for a small one (24 others, some of them known to one and not to another) took reports in and did not pass them on; introductions of instances that had gone were kept for good. Test for the first, failing before.

--- a/crates/serve/src/collection.rs
+++ b/crates/serve/src/collection.rs
@@ -18,6 +18,9 @@
 /// Time after which a sum that was told to be empty is forgotten.
 const FORGOTTEN: Duration = Duration::from_millis(400);
 
+/// Time after which an instance that is not heard of any more is forgotten.
+const GONE: Duration = Duration::from_secs(60);
+
 /// Pace from which on an endpoint counts as slow. That others are not is what all expect.
 const SLOW: f64 = 1.3;
 
@@ -39,6 +42,11 @@
 }
 
 impl Introductions {
+    /// Forgets instances that have not been told of for long.
+    fn forget(&mut self, now: Moment) {
+        self.known.retain(|_, known| now.since(known.told) < GONE);
+    }
+
     /// Leaves the identity out if it was told lately. Returns whether the instance is to be told of
     /// although it has nothing to say.
     fn prepare(&mut self, pulse: &mut Pulse, now: Moment) -> bool {
@@ -107,6 +115,9 @@
 
     /// What is passed on to the own domain.
     pub fn near_round(&mut self, now: Moment) -> (Vec<Pulse>, Vec<DomainSums>) {
+        for met in [&mut self.met_near, &mut self.met_far, &mut self.met_outward] {
+            met.forget(now);
+        }
         let mut pulses: Vec<Pulse> = Vec::new();
         for (_, mut pulse) in self.near.drain() {
             self.met_near.prepare(&mut pulse, now);
--- a/crates/serve/src/collectors.rs
+++ b/crates/serve/src/collectors.rs
@@ -80,6 +80,11 @@
         ranks
     }
 
+    /// The fleet is small: nobody is chosen.
+    pub fn dismiss(&mut self) {
+        self.chosen.clear();
+    }
+
     /// Place of this instance among the collectors of its domain, the last one if it is none.
     pub fn place(&self, own: Rank) -> usize {
         let place = self.chosen.iter().position(|(rank, _)| *rank == own);
--- a/crates/serve/src/node/gossip.rs
+++ b/crates/serve/src/node/gossip.rs
@@ -101,7 +101,8 @@
     /// domain, and to the collectors of others. `None` if it does not collect.
     pub fn digests(&mut self, round: u64, now: Moment) -> Option<[(Digest, Vec<SocketAddr>); 2]> {
         let own = &self.settings.own;
-        if !self.members.is_large() || !self.collectors.collects(own.rank(), now) {
+        // Whoever is asked collects, even if it takes the fleet for a small one.
+        if !self.collectors.collects(own.rank(), now) {
             return None;
         }
         let totals = self.board.totals(&self.members.far_domains(&own.domain), now);
--- a/crates/serve/src/pulse.rs
+++ b/crates/serve/src/pulse.rs
@@ -49,7 +49,13 @@
     let mut told = [Told::default(), Told::default()];
     let mut round = 0;
     loop {
-        let large = front.hub.ask(|node, _| node.members.is_large());
+        let large = front.hub.ask(|node, _| {
+            let large = node.members.is_large();
+            if !large {
+                node.collectors.dismiss();
+            }
+            large
+        });
         if large {
             report(&front, &socket, &mut told[0], round).await;
         } else {
--- a/crates/serve/tests/collect.rs
+++ b/crates/serve/tests/collect.rs
@@ -299,6 +299,30 @@
     expect_that!(most[0], eq(most[1]));
 }
 
+#[gtest]
+fn whoever_is_asked_collects_even_if_it_takes_the_fleet_for_a_small_one() {
+    let now = Moment(10_000_000);
+    let settings = |own| NodeSettings {
+        own,
+        board: BoardSettings::default(),
+        retry: RetrySettings::default(),
+        draw: 0.5,
+    };
+    let mut collector = Node::new(settings(member(0)));
+    for index in 1..5 {
+        collector.members.note_row(member(index * DOMAINS), now);
+    }
+    let report = Node::new(settings(member(DOMAINS))).pulse(REPORT_CLEARED, ROUND, now);
+    expect_that!(collector.digests(0, now).is_some(), eq(false));
+    collector.hear_report(report.clone(), now);
+    let [(near, audience), _] = collector.digests(1, now).expect("it was asked");
+    expect_that!(
+        near.pulses.iter().map(|pulse| pulse.sender).collect::<Vec<_>>(),
+        eq(&vec![report.sender])
+    );
+    expect_that!(audience.len(), eq(4));
+}
+
 /// Links of the smallest instances, in bytes a second, and the share that digests may take.
 const SMALL_LINK: usize = 20_000_000 / 8;
 const DIGEST_SHARE: f64 = 0.5;
