--- a/crates/serve/src/watch.rs
+++ b/crates/serve/src/watch.rs
@@ -226,6 +226,7 @@
         let whole = whole && table == Table::Configuration && !rows.is_empty();
         whole.then_some(TableNews { since: 0, upto: changes.version, rows })
     });
+    // Rows of instances are read once and told to nobody.
     let told = BulletinTable::try_from(table).ok();
     if let Some((table, news)) = told.zip(news) {
         front.changes.push(BulletinNews::new(table, news));
--- a/crates/serve/tests/parts.rs
+++ b/crates/serve/tests/parts.rs
@@ -1,11 +1,13 @@
 //! The core's parts on their own: streams, routes, the directory, lapsed entries, datagrams.
 
+mod support;
+
 use std::future::Future;
 use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
-use agatestair_policy::board::{Board, BoardSettings, SeatFacts};
+use agatestair_policy::board::{Board, BoardSettings};
 use agatestair_policy::{EndpointKey, Moment};
 use agatestair_serve::{
     Bulletin, BulletinNews, BulletinTable, Configuration, Datagram, Digest, DomainSums,
@@ -15,6 +17,8 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 
+use self::support::record;
+
 proptest! {
     /// However a stream is cut into pieces, its bytes and its last identifier stay the same, and
     /// only whole events are handed on.
@@ -126,19 +130,6 @@
     expect_that!((count("s"), count("t"), count("u")), eq((900, 100, 0)));
 }
 
-fn record(name: &str, leaving: bool) -> SeatFacts {
-    SeatFacts {
-        name: name.into(),
-        service: "s".into(),
-        address: ([127, 0, 0, 1], 80).into(),
-        domain: "a".into(),
-        slots: 1,
-        leaving,
-        stage: None,
-        born: 1,
-    }
-}
-
 /// What happens to the store and to an entry, and whether its endpoint is still in use afterwards.
 struct LapseCase {
     name: &'static str,
--- a/crates/serve/tests/watch.rs
+++ b/crates/serve/tests/watch.rs
@@ -1,13 +1,17 @@
 //! A few instances of a large fleet follow the store and tell the others.
 
+mod support;
+
 use std::time::Duration;
 
 use agatestair_policy::Moment;
 use agatestair_policy::assign::digest;
-use agatestair_policy::board::{Board, BoardSettings, SeatFacts};
+use agatestair_policy::board::{Board, BoardSettings};
 use agatestair_serve::{Changes, Cursor, Fleet, Rank, Row, TableNews, Watchers};
 use googletest::prelude::*;
 
+use self::support::record;
+
 /// Time between two bulletins, and the step in which a fleet is played.
 const STEP: Duration = Duration::from_millis(50);
 const BULLETIN_STEPS: u64 = 5;
@@ -404,7 +408,7 @@
         let mut board = Board::new(BoardSettings::default());
         let mut fleet = Fleet::default();
         let now = Moment(20_000_000);
-        fleet.upsert(&mut board, record("one"));
+        fleet.upsert(&mut board, record("one", false));
         let returned = case.returned.map(|ms| now - Duration::from_millis(ms));
         fleet.hear_contact(now, returned);
         fleet.remove(&mut board, "one", now);
@@ -414,16 +418,3 @@
         expect_that!(board.find("one").is_some(), eq(case.kept_after), "{}", case.name);
     }
 }
-
-fn record(name: &str) -> SeatFacts {
-    SeatFacts {
-        name: name.into(),
-        service: "s".into(),
-        address: ([127, 0, 0, 1], 80).into(),
-        domain: "a".into(),
-        slots: 1,
-        leaving: false,
-        stage: None,
-        born: 1,
-    }
-}
