Ranks of instances are worked out once

Found on reading the change again: the rank of every known instance was hashed anew in each round of a collector (in each comparison of a sort) and each look of a follower. It is kept beside the member now.

--- a/crates/serve/src/bulletins.rs
+++ b/crates/serve/src/bulletins.rs
@@ -61,7 +61,7 @@
         let told = node.members.is_large() && node.watchers.watching();
         let own = node.own().0;
         let bulletin = Bulletin {
-            sender: agatestair_policy::assign::digest(&own.name),
+            sender: node.digest,
             weight: own.weight,
             answered_ms: millis(answered),
             returned_ms: returned.map(millis),
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -88,6 +88,8 @@
 #[derive(Clone, Debug)]
 struct Known {
     member: Member,
+    /// The member's rank, kept since its digest is dear to work out.
+    rank: Rank,
     state: MemberState,
     heard: Option<Moment>,
     since: Moment,
@@ -139,7 +141,9 @@
         let key = digest(&member.name);
         let older = self.known.get(&key).is_some_and(|known| known.member.born >= member.born);
         if !older {
-            let known = Known { state: MemberState::default(), heard: None, since: now, member };
+            let state = MemberState::default();
+            let rank = Rank::new(member.weight, key);
+            let known = Known { rank, state, heard: None, since: now, member };
             self.known.insert(key, known);
         }
     }
@@ -154,10 +158,12 @@
                 return false;
             }
             let news = known.state != state || known.member != member || known.heard.is_none();
-            *known = Known { member, state, heard: Some(now), since: known.since };
+            let rank = Rank::new(member.weight, key);
+            *known = Known { member, rank, state, heard: Some(now), since: known.since };
             return news;
         }
-        let known = Known { state, heard: Some(now), since: now, member };
+        let rank = Rank::new(member.weight, key);
+        let known = Known { rank, state, heard: Some(now), since: now, member };
         self.known.insert(key, known);
         true
     }
@@ -212,14 +218,14 @@
     /// Ranks of the others that are alive, or may have just begun to be heard.
     pub fn ranks(&self, now: Moment) -> impl Iterator<Item = Rank> {
         let candidates = self.known.values().filter(move |known| known.is_candidate(now));
-        candidates.map(|known| known.member.rank())
+        candidates.map(|known| known.rank)
     }
 
     /// Ranks of the others of a failure domain that may collect, with their addresses.
     pub fn near(&self, domain: &str, now: Moment) -> Vec<(Rank, SocketAddr)> {
         let near = self.known.values().filter(|known| &*known.member.domain == domain);
         let near = near.filter(|known| known.may_collect(now));
-        near.map(|known| (known.member.rank(), known.member.peers)).collect()
+        near.map(|known| (known.rank, known.member.peers)).collect()
     }
 
     /// Address of one collector in each domain but the own one: the one with the same place in its
@@ -239,7 +245,7 @@
             domains.entry(&known.member.domain).or_default().push(known);
         }
         let chosen = domains.into_values().filter_map(|mut members| {
-            members.sort_unstable_by_key(|known| (!known.is_candidate(now), known.member.rank()));
+            members.sort_unstable_by_key(|known| (!known.is_candidate(now), known.rank));
             let alive: Vec<&Known> =
                 members.iter().filter(|known| known.may_collect(now)).copied().collect();
             let retry = || {
