--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -7,8 +7,10 @@
 mod cache;
 mod choose;
 mod cost;
+mod leavers;
 mod load;
 mod seat;
+mod standing;
 mod trust;
 
 pub use cache::CacheModel;
@@ -16,6 +18,7 @@
 pub use cost::{EngineCosts, NOTABLE_TOKENS};
 pub use load::{Load, PEER_LIFETIME, PeerLoads};
 pub use seat::{Seat, SeatFacts, Stage};
+pub use standing::{MAX_PAUSE, Standing};
 pub use trust::{Trouble, Trust, TrustSettings};
 
 use std::collections::{HashMap, HashSet};
@@ -24,6 +27,7 @@
 
 use slotmap::SlotMap;
 
+use crate::board::leavers::Leavers;
 use crate::keys::EndpointKey;
 use crate::moment::Moment;
 
@@ -70,6 +74,7 @@
     services: HashMap<Arc<str>, Vec<EndpointKey>>,
     names: HashMap<Arc<str>, EndpointKey>,
     digests: HashMap<u64, EndpointKey>,
+    leavers: Leavers,
 }
 
 impl Board {
@@ -96,7 +101,10 @@
         }
         let (name, service) = (facts.name.clone(), facts.service.clone());
         let digest = crate::assign::digest(&name);
-        let key = self.seats.insert(Seat::new(facts, digest));
+        let leaving = self.leavers.contains(&name, facts.born);
+        let mut seat = Seat::new(facts, digest);
+        seat.standing.leaving = leaving;
+        let key = self.seats.insert(seat);
         self.digests.insert(digest, key);
         self.names.insert(name, key);
         self.services.entry(service).or_default().push(key);
@@ -183,7 +191,69 @@
 
     /// Whether an attempt may still go to an endpoint.
     pub fn is_open(&self, key: EndpointKey) -> bool {
-        self.seats.get(key).is_some_and(|seat| !seat.facts.leaving)
+        self.seats.get(key).is_some_and(|seat| !seat.is_leaving())
+    }
+
+    /// An endpoint has announced its leaving, in an answer to this instance; returns whether that
+    /// is news.
+    pub fn note_leaving(&mut self, key: EndpointKey, now: Moment) -> bool {
+        self.set_leaving(key, true, now)
+    }
+
+    /// Another instance has heard from the endpoint with a digest, which started at `born`, that it
+    /// is leaving; returns its name if that is news.
+    pub fn hear_leaving(&mut self, digest: u64, born: u64, now: Moment) -> Option<Arc<str>> {
+        let key = self.find_digest(digest)?;
+        let facts = &self.seats[key].facts;
+        let name = facts.name.clone();
+        (facts.born == born && self.set_leaving(key, false, now)).then_some(name)
+    }
+
+    fn set_leaving(&mut self, key: EndpointKey, own: bool, now: Moment) -> bool {
+        let Some(seat) = self.seats.get_mut(key) else { return false };
+        let news = !std::mem::replace(&mut seat.standing.leaving, true);
+        if news {
+            self.leavers.note(seat.facts.name.clone(), seat.facts.born, own, now);
+        }
+        news
+    }
+
+    /// An endpoint wants no work for a while.
+    pub fn note_pause(&mut self, key: EndpointKey, told: Duration, now: Moment) {
+        if let Some(seat) = self.seats.get_mut(key) {
+            seat.standing.pause(told, now);
+        }
+    }
+
+    /// Whether an endpoint wants no work.
+    pub fn is_paused(&self, key: EndpointKey, now: Moment) -> bool {
+        self.seats.get(key).is_some_and(|seat| seat.standing.paused(now).is_some())
+    }
+
+    /// An attempt goes to an endpoint; returns whether that is a trial, since it wants no work.
+    pub fn note_trial(&mut self, key: EndpointKey, now: Moment) -> bool {
+        let trial = self.is_paused(key, now);
+        if let Some(seat) = self.seats.get_mut(key) {
+            seat.standing.note_attempt(now);
+        }
+        trial
+    }
+
+    /// An endpoint said something that cannot be understood; returns whether it is the first time.
+    pub fn note_odd(&mut self, key: EndpointKey) -> bool {
+        self.seats.get_mut(key).is_some_and(|seat| !std::mem::replace(&mut seat.standing.odd, true))
+    }
+
+    /// Digests and starts of the endpoints that announced their leaving to this instance within a
+    /// time, for other instances.
+    pub fn leavers_told(&self, within: Duration, now: Moment) -> Vec<(u64, u64)> {
+        self.leavers.told(within, now)
+    }
+
+    /// Forgets what endpoints that are long gone have announced.
+    pub fn expire_leavers(&mut self, now: Moment) {
+        let names = &self.names;
+        self.leavers.expire(|name| names.contains_key(name), now);
     }
 
     /// Notes an answer of an endpoint: how long it took against what was expected.
--- a/crates/policy/src/board/choose.rs
+++ b/crates/policy/src/board/choose.rs
@@ -52,6 +52,9 @@
 /// What one stream that is held back too long counts as, in milliseconds.
 const STALLED_MS: f64 = 20.0;
 
+/// Time after which a caller comes back to a service that has no endpoint.
+const NO_ENDPOINT_RETURN: Duration = Duration::from_secs(1);
+
 /// Shortest time after which a refused caller is asked to come back.
 const MIN_RETURN: Duration = Duration::from_millis(100);
 
@@ -119,6 +122,8 @@
     NoEndpoint,
     /// No endpoint can answer within the limit.
     TooLate,
+    /// All endpoints have said that they want no work for a while.
+    Paused,
 }
 
 /// There is no place now.
@@ -169,7 +174,8 @@
             let choice = Choice { key, load, expected, nominal, reads: false, fetch: None };
             Way { choice, wait: Duration::ZERO, harm: 0.0, cost }
         });
-        let way = pick(&ways.collect::<Vec<_>>(), 0.0, wanted.draw).ok_or_else(no_endpoint)?;
+        let way = pick(&ways.collect::<Vec<_>>(), 0.0, wanted.draw);
+        let way = way.ok_or_else(|| self.no_place(wanted, None, now))?;
         let waiting = waiting(&self.seats[way.choice.key]);
         if waiting > PLAIN_QUEUE + 1.0 {
             return Err(too_late(PLAIN_HOLD.mul_f64(waiting)));
@@ -201,6 +207,7 @@
             Some(way)
         });
         within(whole.chain(apart), wanted)
+            .unwrap_or_else(|| Err(self.no_place(wanted, Some(Stage::Decode), now)))
     }
 
     /// Chooses the engine that generates after another one has read the prompt.
@@ -219,7 +226,7 @@
             let far = domain.as_ref().is_some_and(|domain| *domain != seat.facts.domain);
             self.decode_way(key, seat, wanted, far, now)
         });
-        within(ways, wanted)
+        within(ways, wanted).unwrap_or_else(|| Err(self.no_place(wanted, Some(Stage::Decode), now)))
     }
 
     /// The engine of a stage that the hash of a prompt's largest shared part prefers.
@@ -271,7 +278,7 @@
         }
         let others = self.members(&wanted.service).iter().filter(|other| {
             let source = &self.seats[**other];
-            **other != key && !source.facts.leaving && !source.trust.is_ejected(now)
+            **other != key && !source.is_leaving() && !source.trust.is_ejected(now)
         });
         let fetches = others.filter_map(|other| {
             let source = &self.seats[*other];
@@ -392,7 +399,7 @@
     /// Whether a service has an engine of a stage that takes work.
     pub fn has_stage(&self, service: &str, stage: Stage) -> bool {
         let mut seats = self.members(service).iter().map(|key| &self.seats[*key]);
-        seats.any(|seat| seat.facts.stage == Some(stage) && !seat.facts.leaving)
+        seats.any(|seat| seat.facts.stage == Some(stage) && !seat.is_leaving())
     }
 
     /// Milliseconds of prompts that an engine has yet to read, at a prefill engine's rate.
@@ -400,7 +407,19 @@
         f64::from(seat.load(now).unread) / self.settings.costs.read_rate
     }
 
-    /// Endpoints that take an attempt: ejected ones only if there are no others.
+    /// Why no endpoint of a stage takes an attempt, and when one should.
+    fn no_place(&self, wanted: &Wanted, stage: Option<Stage>, now: Moment) -> Denial {
+        let members = self.members(&wanted.service).iter().map(|key| &self.seats[*key]);
+        let members = members.filter(|seat| stage.is_none() || seat.facts.stage == stage);
+        let paused = members.filter(|seat| !seat.is_leaving());
+        match paused.filter_map(|seat| seat.standing.paused(now)).min() {
+            Some(back) => Denial { cause: DenialCause::Paused, back: back.max(MIN_RETURN) },
+            None => Denial { cause: DenialCause::NoEndpoint, back: NO_ENDPOINT_RETURN },
+        }
+    }
+
+    /// Endpoints that take an attempt: ejected ones only if there are no others, and ones that want
+    /// no work, once each, only if all want none.
     fn open<'a>(
         &'a self,
         wanted: &'a Wanted,
@@ -409,12 +428,18 @@
     ) -> impl Iterator<Item = (EndpointKey, &'a Seat)> + 'a {
         let usable = move |key: &EndpointKey| {
             let seat = &self.seats[*key];
-            !seat.facts.leaving
+            !seat.is_leaving()
                 && (stage.is_none() || seat.facts.stage == stage)
                 && !wanted.tried.contains(key)
                 && seat.own.attempts < wanted.share
         };
         let members = self.members(&wanted.service);
+        let willing = move |key: &EndpointKey| self.seats[*key].standing.paused(now).is_none();
+        let all_paused = !members.iter().any(|key| usable(key) && willing(key));
+        let usable = move |key: &EndpointKey| {
+            let may_try = all_paused && self.seats[*key].standing.may_try(now);
+            usable(key) && (willing(key) || may_try)
+        };
         let trusted =
             members.iter().any(|key| usable(key) && !self.seats[*key].trust.is_ejected(now));
         let kept = move |key: &&EndpointKey| {
@@ -428,8 +453,8 @@
     Choice { key, load, expected: millis(first), nominal: millis(nominal), reads, fetch: None }
 }
 
-/// The cheapest of the ways that are in time.
-fn within(ways: impl Iterator<Item = Way>, wanted: &Wanted) -> Result<Choice, Denial> {
+/// The cheapest of the ways that are in time; `None` if there are no ways.
+fn within(ways: impl Iterator<Item = Way>, wanted: &Wanted) -> Option<Result<Choice, Denial>> {
     let mut open: Vec<Way> = Vec::new();
     let mut earliest: Option<Duration> = None;
     for way in ways {
@@ -441,9 +466,9 @@
         }
     }
     match (pick(&open, as_ms(wanted.unseen), wanted.draw), earliest) {
-        (Some(way), _) => Ok(way.choice),
-        (None, Some(earliest)) => Err(too_late(earliest.saturating_sub(wanted.aim))),
-        (None, None) => Err(no_endpoint()),
+        (Some(way), _) => Some(Ok(way.choice)),
+        (None, Some(earliest)) => Some(Err(too_late(earliest.saturating_sub(wanted.aim)))),
+        (None, None) => None,
     }
 }
 
@@ -457,10 +482,6 @@
     near.get((draw * near.len() as f64) as usize).or(near.last()).map(|way| **way)
 }
 
-fn no_endpoint() -> Denial {
-    Denial { cause: DenialCause::NoEndpoint, back: Duration::from_secs(1) }
-}
-
 fn too_late(back: Duration) -> Denial {
     Denial { cause: DenialCause::TooLate, back: back.max(MIN_RETURN) }
 }
--- a/crates/policy/src/board/seat.rs
+++ b/crates/policy/src/board/seat.rs
@@ -6,6 +6,7 @@
 
 use crate::board::cache::CacheModel;
 use crate::board::load::{Load, PeerLoads};
+use crate::board::standing::Standing;
 use crate::board::trust::Trust;
 use crate::moment::Moment;
 
@@ -57,6 +58,8 @@
     pub cleared: Option<Moment>,
     /// Failures and pace.
     pub trust: Trust,
+    /// What the endpoint itself has said of further work.
+    pub standing: Standing,
     /// Last word of the endpoint on its pace, to this instance.
     pub heard: Option<(f64, Moment)>,
     /// Last such word to any instance.
@@ -74,12 +77,18 @@
             peers: PeerLoads::default(),
             cleared: None,
             trust: Trust::default(),
+            standing: Standing::default(),
             heard: None,
             paced: None,
             cache: CacheModel::default(),
         }
     }
 
+    /// Whether it takes no new work, by the platform's word or its own.
+    pub fn is_leaving(&self) -> bool {
+        self.facts.leaving || self.standing.leaving
+    }
+
     /// Work of all instances.
     pub fn load(&self, now: Moment) -> Load {
         self.own + self.peers.sum(now)
--- /dev/null
+++ b/crates/policy/tests/standing.rs
@@ -0,0 +1,166 @@
+//! What endpoints have said of further work, and what becomes of requests then.
+
+use std::time::Duration;
+
+use agatestair_policy::Moment;
+use agatestair_policy::board::{
+    Board, BoardSettings, DenialCause, MAX_PAUSE, SeatFacts, Stage, Wanted,
+};
+use googletest::prelude::*;
+
+/// Time between two requests.
+const GAP: Duration = Duration::from_millis(10);
+
+fn seat(name: &str, stage: Option<Stage>) -> SeatFacts {
+    SeatFacts {
+        name: name.into(),
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        domain: "a".into(),
+        slots: 4,
+        leaving: false,
+        stage,
+        born: 1,
+    }
+}
+
+fn ask() -> Wanted {
+    Wanted {
+        service: "s".into(),
+        domain: "a".into(),
+        limit: Duration::from_secs(5),
+        aim: Duration::from_millis(300),
+        pause: Duration::from_millis(150),
+        share: 100,
+        prompt: 200,
+        ..Wanted::default()
+    }
+}
+
+/// Endpoints that turn requests away and say for how long, under a request every 10 ms.
+struct Case {
+    name: &'static str,
+    stage: Option<Stage>,
+    /// What each endpoint says; `None` for one that takes work.
+    pauses: &'static [Option<u64>],
+    /// Greatest number of requests at one that said so, in the 3 s after its first word.
+    most: usize,
+    /// Share of the requests that are served.
+    served: f64,
+}
+
+const CASES: [Case; 5] = [
+    Case {
+        name: "one of three",
+        stage: None,
+        pauses: &[Some(30), None, None],
+        most: 0,
+        served: 1.0,
+    },
+    Case {
+        name: "all but one",
+        stage: None,
+        pauses: &[Some(30), Some(30), None],
+        most: 0,
+        served: 1.0,
+    },
+    Case { name: "all", stage: None, pauses: &[Some(30), Some(30)], most: 1, served: 0.0 },
+    Case {
+        name: "all with every answer",
+        stage: None,
+        pauses: &[Some(1), Some(1)],
+        most: 1,
+        served: 0.0,
+    },
+    Case {
+        name: "one engine",
+        stage: Some(Stage::Decode),
+        pauses: &[Some(30), None],
+        most: 0,
+        served: 1.0,
+    },
+];
+
+#[gtest]
+fn endpoints_that_want_nothing_get_nothing_and_callers_know_at_once() {
+    for case in &CASES {
+        let mut board = Board::new(BoardSettings::default());
+        let names = ["one", "two", "three"];
+        let keys: Vec<_> = (0..case.pauses.len())
+            .map(|index| board.upsert(seat(names[index], case.stage)))
+            .collect();
+        let mut now = Moment(10_000_000);
+        for (key, pause) in keys.iter().zip(case.pauses) {
+            if let Some(pause) = pause {
+                board.note_pause(*key, Duration::from_secs(*pause), now);
+            }
+        }
+        // The windows of the users' rule begin with each word and end with the time it names.
+        let mut windows: Vec<Vec<(Moment, Moment, usize)>> = keys
+            .iter()
+            .zip(case.pauses)
+            .map(|(_, pause)| pause.map(|pause| (now, now + Duration::from_secs(pause), 0)))
+            .map(|window| window.into_iter().collect())
+            .collect();
+        let (mut served, mut asked) = (0, 0);
+        for _ in 0..300 {
+            now = now + GAP;
+            asked += 1;
+            let chosen = match case.stage {
+                None => board.choose_plain(&ask(), now),
+                Some(_) => board.choose_run(&ask(), true, now),
+            };
+            match chosen {
+                Ok(choice) => {
+                    let at = keys.iter().position(|key| *key == choice.key).expect("it is listed");
+                    board.note_trial(choice.key, now);
+                    for window in &mut windows[at] {
+                        window.2 += usize::from(now < window.1);
+                    }
+                    match case.pauses[at] {
+                        None => served += 1,
+                        Some(pause) => {
+                            let time = Duration::from_secs(pause);
+                            board.note_pause(choice.key, time, now);
+                            windows[at].push((now, now + time, 0));
+                        }
+                    }
+                }
+                Err(denial) => {
+                    expect_that!(denial.cause, eq(DenialCause::Paused), "{}", case.name);
+                    expect_that!(denial.back, le(Duration::from_secs(30)), "{}", case.name);
+                }
+            }
+        }
+        expect_that!(f64::from(served) / f64::from(asked), ge(case.served), "{}", case.name);
+        let most = windows.iter().flatten().map(|window| window.2).max().unwrap_or_default();
+        expect_that!(most, le(case.most), "{}: {windows:?}", case.name);
+    }
+}
+
+#[gtest]
+fn no_endpoint_is_locked_out_for_good() {
+    let mut board = Board::new(BoardSettings::default());
+    let key = board.upsert(seat("one", None));
+    let now = Moment(10_000_000);
+    board.note_pause(key, Duration::MAX, now);
+    expect_that!(board.is_paused(key, now + MAX_PAUSE - GAP), eq(true));
+    expect_that!(board.choose_plain(&ask(), now + MAX_PAUSE).is_ok(), eq(true));
+}
+
+#[gtest]
+fn an_endpoint_that_announced_its_leaving_stays_out_until_it_starts_again() {
+    let mut board = Board::new(BoardSettings::default());
+    let one = board.upsert(seat("one", None));
+    let two = board.upsert(seat("two", None));
+    let now = Moment(10_000_000);
+    expect_that!(board.note_leaving(one, now), eq(true));
+    expect_that!(board.note_leaving(one, now), eq(false), "told once");
+    expect_that!(board.choose_plain(&ask(), now).map(|choice| choice.key), ok(eq(two)));
+    // Its entry may lapse and come back meanwhile.
+    board.remove(one);
+    let back = board.upsert(seat("one", None));
+    expect_that!(board.is_open(back), eq(false));
+    let next = board.upsert(SeatFacts { born: 2, ..seat("one", None) });
+    expect_that!(board.is_open(next), eq(true));
+}
--- a/crates/serve/src/answer.rs
+++ b/crates/serve/src/answer.rs
@@ -32,6 +32,9 @@
 /// who all come back at its start are refused again.
 const BACK_SPREAD: Duration = Duration::from_millis(800);
 
+/// Part of a bound over which times are spread that the bound cuts.
+const CUT_SPREAD: f64 = 0.3;
+
 /// Why a request gets an answer of our own.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Failure {
@@ -107,8 +110,17 @@
 
 /// A refusal with a time to come back that is spread over the callers.
 pub fn not_run(back: Duration, cause: &'static str) -> Failure {
-    let spread = BACK_SPREAD.mul_f64(rand::rng().random::<f64>());
-    Failure::NotRun { back: back + spread, cause }
+    Failure::NotRun { back: spread(back), cause }
+}
+
+/// The same with a time of at most `most`, spread below it where the bound cuts the time.
+pub fn not_run_within(back: Duration, most: Duration, cause: &'static str) -> Failure {
+    let drawn = most.mul_f64(1.0 - CUT_SPREAD * rand::rng().random::<f64>());
+    Failure::NotRun { back: spread(back).min(drawn), cause }
+}
+
+fn spread(back: Duration) -> Duration {
+    back + BACK_SPREAD.mul_f64(rand::rng().random::<f64>())
 }
 
 /// An endpoint's answer as the caller gets it.
--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -10,6 +10,8 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use crate::held::Held;
+
 /// Pieces that wait for a caller who reads slowly; the endpoint is not read any further then.
 pub const QUEUED_PIECES: usize = 16;
 
@@ -38,7 +40,12 @@
 #[derive(Debug)]
 pub enum AnswerBody {
     /// All of it.
-    Whole(Full<Bytes>),
+    Whole {
+        /// The bytes.
+        body: Full<Bytes>,
+        /// What they take of the memory for answers.
+        _held: Option<Held>,
+    },
     /// Pieces as they come; ends as cut unless [`Piece::End`] comes last.
     Pieces(mpsc::Receiver<Piece>),
 }
@@ -46,7 +53,12 @@
 impl AnswerBody {
     /// A body that is at hand.
     pub fn whole(bytes: Bytes) -> Self {
-        Self::Whole(Full::new(bytes))
+        Self::Whole { body: Full::new(bytes), _held: None }
+    }
+
+    /// An endpoint's body that is at hand.
+    pub fn held(bytes: Bytes, held: Held) -> Self {
+        Self::Whole { body: Full::new(bytes), _held: Some(held) }
     }
 }
 
@@ -59,7 +71,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         match self.get_mut() {
-            Self::Whole(body) => {
+            Self::Whole { body, .. } => {
                 let frame = ready!(Pin::new(body).poll_frame(cx));
                 Poll::Ready(frame.map(|frame| frame.map_err(|never: Infallible| match never {})))
             }
@@ -73,14 +85,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole(body) => body.is_end_stream(),
+            Self::Whole { body, .. } => body.is_end_stream(),
             Self::Pieces(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(body) => body.size_hint(),
+            Self::Whole { body, .. } => body.size_hint(),
             Self::Pieces(_) => SizeHint::default(),
         }
     }
--- a/crates/serve/src/bulletins.rs
+++ b/crates/serve/src/bulletins.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::datagram::{Bulletin, BulletinNews, BulletinTable, Datagram, TableState};
-use crate::events::WATCHING;
+use crate::events::{BULLETIN_BARE, WATCHING};
 use crate::front::Front;
 use crate::pulse::send_all;
 use crate::store::Table;
@@ -56,6 +56,7 @@
 }
 
 async fn send_bulletin(front: &Front, socket: &UdpSocket, news: Option<BulletinNews>, round: u64) {
+    let link = front.settings().machine.link_mbps;
     let composed = front.hub.ask(move |node, now| {
         let (answered, returned) = node.fleet.contact(now)?;
         let told = node.members.is_large() && node.watchers.watching();
@@ -74,9 +75,21 @@
                 .to_vec(),
             news,
         };
-        told.then(|| (bulletin, node.members.everyone(round, now)))
+        if !told {
+            return None;
+        }
+        let audience = node.members.everyone(round, now);
+        let bytes = bulletin.row_bytes() * audience.len();
+        // Whoever misses rows learns from the versions that they exist, and asks the store.
+        let narrow = bytes > 0 && !node.allowance.take(bytes, link, now);
+        let news = bulletin.news.filter(|_| !narrow);
+        Some((Bulletin { news, ..bulletin }, audience, narrow))
     });
-    if let Some((bulletin, audience)) = composed {
+    if let Some((bulletin, audience, narrow)) = composed {
+        if narrow {
+            metrics::counter!("agatestair_serve_bulletins_bare_total").increment(1);
+            log_event!(front.log, BULLETIN_BARE, "audience" => audience.len(), "link_mbps" => link);
+        }
         metrics::counter!("agatestair_serve_bulletins_total").increment(1);
         send_all(front, socket, &Datagram::Bulletin(bulletin), &audience).await;
     }
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::answer::{DEFAULT_BACK, Failure, not_run};
+use crate::answer::{DEFAULT_BACK, Failure, not_run, not_run_within};
 use crate::configuration::{Route, Service};
 use crate::dialect::{CallFacts, Outbound, Phase};
 use crate::events::{ATTEMPT_FAILED, DENIED, ENDPOINT_EJECTED, PLACED};
@@ -26,6 +26,9 @@
 /// objective.
 const SLACK_SHARE: f64 = 0.7;
 
+/// Part of the time left up to which callers wait before they come back.
+const RETURN_SHARE: u32 = 3;
+
 /// Connections that are tried in vain at most before the request is refused.
 const MAX_UNSENT: u32 = 6;
 
@@ -121,7 +124,7 @@
         log_event!(self.front.log, PLACED, "request" => self.passed.id.as_deref(),
             "endpoint" => &*place.name, "search" => search.label(), "reads" => place.reads, "busy" => place.busy,
             "expected_ms" => place.expected.as_millis() as u64, "version" => self.version,
-            "unread" => place.load.unread,
+            "unread" => place.load.unread, "trial" => place.trial,
             "fetch" => place.fetch.map(|address| address.to_string()),
             "left_ms" => self.left().as_millis() as u64, "sends" => self.sends);
     }
@@ -137,7 +140,7 @@
             resume,
         };
         let sent = send(&self.front, &ticket.place, &self.passed, &outbound).await;
-        if !matches!(sent, Sent::Unsent(_)) {
+        if !matches!(sent, Sent::Unsent(_) | Sent::Withheld) {
             self.sends += 1;
         }
         sent
@@ -184,6 +187,10 @@
         let cause = match denial.cause {
             DenialCause::NoEndpoint => "no endpoint takes work",
             DenialCause::TooLate => "no endpoint can answer in time",
+            DenialCause::Paused => {
+                let cause = "all endpoints want no work for a while";
+                return not_run_within(denial.back, self.left() / RETURN_SHARE, cause);
+            }
         };
         not_run(denial.back, cause)
     }
@@ -197,6 +204,11 @@
             let again = call.may_connect_again();
             (!again).then(|| not_run(DEFAULT_BACK, "no endpoint can be reached"))
         }
+        Sent::Withheld => {
+            call.tried.push(ticket.place.key);
+            let again = call.may_connect_again();
+            (!again).then(|| not_run(DEFAULT_BACK, "endpoints want no work"))
+        }
         Sent::Refused { status, moved } => {
             let cause = if moved { "another endpoint has the address" } else { "refused" };
             let cause = format!("{cause}, status {}", status.as_u16());
--- a/crates/serve/src/collection.rs
+++ b/crates/serve/src/collection.rs
@@ -125,7 +125,7 @@
         }
         for (_, mut pulse) in self.far.drain() {
             let due = self.met_far.prepare(&mut pulse, now);
-            if due || !pulse.reads.is_empty() {
+            if due || !pulse.reads.is_empty() || !pulse.leavers.is_empty() {
                 pulses.push(pulse);
             }
         }
@@ -142,7 +142,7 @@
         let mut pulses: Vec<Pulse> = Vec::new();
         for (_, mut pulse) in self.outward.drain() {
             let due = self.met_outward.prepare(&mut pulse, now);
-            if due || !pulse.reads.is_empty() {
+            if due || !pulse.reads.is_empty() || !pulse.leavers.is_empty() {
                 pulses.push(pulse);
             }
         }
@@ -180,11 +180,13 @@
         pulses.insert(pulse.sender, pulse);
         return;
     };
-    let Pulse { identity, ready, leaving, version, loads, reads, .. } = pulse;
+    let Pulse { identity, ready, leaving, version, loads, reads, leavers, .. } = pulse;
     known.loads.retain(|former| loads.iter().all(|load| load.endpoint != former.endpoint));
     known.loads.extend(loads);
     let fresh: Vec<_> = reads.into_iter().filter(|read| !known.reads.contains(read)).collect();
     known.reads.extend(fresh);
+    let fresh: Vec<_> = leavers.into_iter().filter(|it| !known.leavers.contains(it)).collect();
+    known.leavers.extend(fresh);
     known.identity = identity.or(known.identity.take());
     (known.ready, known.leaving, known.version) = (ready, leaving, version);
 }
--- a/crates/serve/src/datagram.rs
+++ b/crates/serve/src/datagram.rs
@@ -18,7 +18,7 @@
 const PACE_SCALE: f64 = 100.0;
 
 /// Version of the datagrams' layout, their first byte; others are passed over.
-const LAYOUT: u8 = 2;
+const LAYOUT: u8 = 3;
 
 /// One datagram.
 #[derive(Clone, Debug, Decode, Encode, PartialEq)]
@@ -178,6 +178,8 @@
     pub loads: Vec<PulseLoad>,
     /// Parts of prompts that endpoints got: digest of the endpoint's name, part, its tokens.
     pub reads: Vec<(u64, u64, u32)>,
+    /// Endpoints that announced their leaving to it: digest of the name, start in Unix milliseconds.
+    pub leavers: Vec<(u64, u64)>,
 }
 
 /// What a collector passes on to its own domain and to the collectors of others.
@@ -221,6 +223,14 @@
     pub news: Option<BulletinNews>,
 }
 
+impl Bulletin {
+    /// Bytes of its rows.
+    pub fn row_bytes(&self) -> usize {
+        let rows = self.news.iter().flat_map(|news| &news.rows);
+        rows.map(|(key, _, value)| key.len() + value.as_ref().map_or(0, Vec::len)).sum()
+    }
+}
+
 /// How far the sender of a bulletin knows a table.
 #[derive(Clone, Copy, Debug, Decode, Encode, PartialEq)]
 pub struct TableState {
--- a/crates/serve/src/dialect.rs
+++ b/crates/serve/src/dialect.rs
@@ -100,6 +100,10 @@
     pub pace: Option<f64>,
     /// Time for which the endpoint keeps an idle connection, if it is told.
     pub idle: Option<Duration>,
+    /// Whether the endpoint announces that it will end.
+    pub leaving: bool,
+    /// Time after which a request that the endpoint turned away may come back, if it is told.
+    pub retry: Option<Result<Duration, WireFault>>,
 }
 
 /// Who asks the directory.
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -90,6 +90,18 @@
 /// This instance begins or ceases to collect for its failure domain.
 pub const COLLECTING: Event =
     Event { number: 5036, level: Level::Info, text: "collecting for the failure domain" };
+/// An endpoint announced that it will end; it gets no new work.
+pub const ENDPOINT_LEAVING: Event =
+    Event { number: 5037, level: Level::Info, text: "endpoint announced its leaving" };
+/// An endpoint turned a request away and wants no work for a while.
+pub const ENDPOINT_PAUSED: Event =
+    Event { number: 5038, level: Level::Info, text: "endpoint wants no work for a while" };
+/// An endpoint's answer says something that cannot be understood; told once an endpoint.
+pub const ANSWER_ODD: Event =
+    Event { number: 5039, level: Level::Warning, text: "header of an answer not understood" };
+/// A bulletin goes out without its rows, which are too much for this instance's link.
+pub const BULLETIN_BARE: Event =
+    Event { number: 5040, level: Level::Info, text: "bulletin without rows, link too narrow" };
 /// All events of this crate.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -125,4 +137,8 @@
     TASK_FAILED,
     WATCHING,
     COLLECTING,
+    ENDPOINT_LEAVING,
+    ENDPOINT_PAUSED,
+    ANSWER_ODD,
+    BULLETIN_BARE,
 ];
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -68,7 +68,7 @@
     pub fn remove(&mut self, board: &mut Board, name: &str, now: Moment) -> bool {
         let Some(key) = board.find(name) else { return false };
         let until = self.back.map(|back| back + RETURN_GRACE).filter(|until| now < *until);
-        let leaving = board.seats[key].facts.leaving;
+        let leaving = board.seats[key].is_leaving();
         if let (Some(until), false) = (until, leaving) {
             self.lapsed.entry(board.seats[key].facts.name.clone()).or_insert(until);
             return false;
--- a/crates/serve/src/front.rs
+++ b/crates/serve/src/front.rs
@@ -24,6 +24,7 @@
 use crate::datagram::BulletinNews;
 use crate::dialect::Dialect;
 use crate::events::{ACCEPT_FAILED, CONNECTION_FAILED};
+use crate::held::HeldTotal;
 use crate::hub::Hub;
 use crate::listen::configure;
 use crate::news::{News, Outbox};
@@ -77,6 +78,8 @@
     pub connections: Cell<usize>,
     /// Bytes of requests' bodies in memory.
     pub body_bytes: Cell<usize>,
+    /// Parts of answers in memory.
+    pub held: HeldTotal,
 }
 
 /// Wakes the tasks that follow the store's tables.
--- a/crates/serve/src/learn.rs
+++ b/crates/serve/src/learn.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use agatestair_policy::EndpointKey;
 use agatestair_runtime::log_event;
 use rand::Rng;
 use tokio::time::sleep;
@@ -15,6 +14,7 @@
 use crate::events::{CACHE_LEARNED, CACHE_UNKNOWN};
 use crate::front::Front;
 use crate::line::ask_once;
+use crate::send::{Speaker, note_standing};
 
 /// Time between two looks whether endpoints are known.
 const LOOK: Duration = Duration::from_millis(50);
@@ -39,7 +39,7 @@
     sleep(SETTLING + SPREAD.mul_f64(rand::rng().random::<f64>())).await;
     let readers = front.hub.ask(|node, now| node.engines_to_ask(now));
     for (key, facts) in readers {
-        match learn(&front, key, facts.address).await {
+        match learn(&front, Speaker { key, name: &facts.name }, facts.address).await {
             Ok(parts) => {
                 log_event!(front.log, CACHE_LEARNED, "endpoint" => &*facts.name, "parts" => parts);
             }
@@ -52,16 +52,19 @@
 
 async fn learn(
     front: &Front,
-    key: EndpointKey,
+    speaker: Speaker<'_>,
     address: std::net::SocketAddr,
 ) -> Result<usize, String> {
     let call = (front.dialect.list_cache)();
     let answer = ask_once(call, address, ANSWER_TIME, MAX_ANSWER_BYTES).await?;
+    let told = (front.dialect.read_answer)(answer.headers());
+    note_standing(front, speaker, None, answer.status(), &told);
     if !answer.status().is_success() {
         return Err(format!("status {}", answer.status().as_u16()));
     }
     let parts = (front.dialect.read_cache)(answer.body()).map_err(|fault| fault.to_string())?;
     let count = parts.len();
+    let key = speaker.key;
     front.hub.ask(move |node, now| node.note_kept(key, &parts, now));
     Ok(count)
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -5,6 +5,7 @@
 //! comes as a [`Dialect`], and the store as a [`StoreClient`]: plain structs of functions that an
 //! adapter fills in.
 
+mod allowance;
 mod answer;
 mod body;
 mod bulletins;
@@ -22,11 +23,13 @@
 mod fleet;
 mod front;
 mod handle;
+mod held;
 mod hub;
 mod learn;
 mod line;
 mod listen;
 mod members;
+mod meter;
 mod news;
 mod node;
 mod plain;
@@ -43,6 +46,7 @@
 mod watch;
 mod watchers;
 
+pub use allowance::Allowance;
 pub use collection::Collection;
 pub use collectors::{Collectors, REPORT_CLEARED, interval};
 pub use configuration::{Configuration, EngineFacts, Kind, Limits, Match, Route, Service, Target};
@@ -57,6 +61,7 @@
 };
 pub use explain::explain;
 pub use fleet::Fleet;
+pub use held::{FREE_BYTES, Held, HeldTotal};
 pub use hub::Hub;
 pub use line::{Line, LineFault, LineSettings, exchange};
 pub use members::{Group, Member, MemberState, Members};
--- a/crates/serve/src/line.rs
+++ b/crates/serve/src/line.rs
@@ -16,10 +16,15 @@
 
 use crate::dialect::WireCall;
 use crate::listen::configure;
+use crate::meter::{ByteBound, Metered};
 
 /// Greatest size of an answer's head in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Bytes that may come until the head of an answer is whole: the head, answers that are only
+/// provisional, and what is read of the body together with the head's end.
+const MAX_PRELUDE_BYTES: usize = 3 * MAX_HEAD_BYTES;
+
 /// Share of the other end's idle time for which a connection is used again, so that it is not
 /// closed there while a request is on its way.
 const IDLE_SHARE: f64 = 0.5;
@@ -54,6 +59,7 @@
 #[derive(Debug)]
 pub struct Line {
     sender: SendRequest<Full<Bytes>>,
+    bound: ByteBound,
     _task: TaskGuard,
     idle_limit: Duration,
     used: Instant,
@@ -83,6 +89,8 @@
             builder.max_buf_size(MAX_HEAD_BYTES);
             builder
         };
+        let bound = ByteBound::default();
+        let stream = Metered::new(stream, bound.clone());
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
@@ -90,7 +98,7 @@
             drop(connection.await);
         });
         let idle_limit = settings.idle;
-        Ok(Self { sender, _task: TaskGuard(task), idle_limit, used: Instant::now() })
+        Ok(Self { sender, bound, _task: TaskGuard(task), idle_limit, used: Instant::now() })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -103,11 +111,12 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, LineFault> {
         self.used = Instant::now();
-        self.sender.try_send_request(request).await.map_err(|mut fault| {
-            match fault.take_message() {
-                Some(request) => LineFault::Unsent(Box::new(request)),
-                None => LineFault::Unknown(fault.into_error()),
-            }
+        self.bound.set(MAX_PRELUDE_BYTES);
+        let answer = self.sender.try_send_request(request).await;
+        self.bound.lift();
+        answer.map_err(|mut fault| match fault.take_message() {
+            Some(request) => LineFault::Unsent(Box::new(request)),
+            None => LineFault::Unknown(fault.into_error()),
         })
     }
 
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -16,6 +16,7 @@
 use agatestair_policy::{EndpointKey, Moment, RetryBudget, RetrySettings};
 use stakker::CX;
 
+use crate::allowance::Allowance;
 use crate::collection::Collection;
 use crate::collectors::Collectors;
 use crate::configuration::{Configuration, Limits, Match};
@@ -94,6 +95,8 @@
     pub fetch: Option<SocketAddr>,
     /// Attempts of all instances there before this one, for the log.
     pub busy: u32,
+    /// Whether the endpoint wants no work, and is tried all the same.
+    pub trial: bool,
 }
 
 /// Which endpoint is looked for.
@@ -136,6 +139,8 @@
     pub watchers: Watchers,
     /// The instances that collect for this one's domain.
     pub collectors: Collectors,
+    /// What of the link is left for rows in bulletins.
+    pub allowance: Allowance,
     /// What this instance has collected and not passed on.
     pub collection: Collection,
     /// Digest of this instance's name.
@@ -170,6 +175,7 @@
             members: Members::default(),
             watchers: Watchers::default(),
             collectors: Collectors::default(),
+            allowance: Allowance::default(),
             collection: Collection::default(),
             digest: digest(&settings.own.name),
             domain: digest(&settings.own.domain),
@@ -329,7 +335,7 @@
         let own = &self.settings.own.name;
         let asked = |seat: &Seat| {
             seat.facts.stage == Some(Stage::Prefill)
-                && !seat.facts.leaving
+                && !seat.is_leaving()
                 && (!large || self.members.is_asker(own, seat.digest, now))
         };
         let asked = self.board.seats.iter().filter(|(_, seat)| asked(seat));
@@ -361,6 +367,7 @@
     }
 
     fn take(&mut self, choice: Choice, now: Moment) -> Place {
+        let trial = self.board.note_trial(choice.key, now);
         let seat = &self.board.seats[choice.key];
         let place = Place {
             key: choice.key,
@@ -372,6 +379,7 @@
             reads: choice.reads,
             fetch: choice.fetch.and_then(|key| self.board.seats.get(key)).map(|s| s.facts.address),
             busy: seat.load(now).attempts,
+            trial,
         };
         self.board.start(choice.key, choice.load);
         place
@@ -431,6 +439,7 @@
     /// Does what is due with time; returns the endpoints that are gone.
     pub fn tick(&mut self, now: Moment) -> Vec<Arc<str>> {
         self.members.expire(now);
+        self.board.expire_leavers(now);
         self.fleet.expire(&mut self.board)
     }
 }
--- a/crates/serve/src/node/gossip.rs
+++ b/crates/serve/src/node/gossip.rs
@@ -12,6 +12,10 @@
 use crate::node::Node;
 use crate::watchers::Rank;
 
+/// Time for which others are told that an endpoint has announced its leaving, since datagrams are
+/// lost.
+const LEAVERS_TOLD: Duration = Duration::from_secs(2);
+
 /// What a pulse changed.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Heard {
@@ -19,6 +23,8 @@
     pub news: Option<(Arc<str>, MemberState)>,
     /// Whether the instance has a newer configuration.
     pub behind: bool,
+    /// Endpoints that are now known to be leaving.
+    pub leavers: Vec<Arc<str>>,
 }
 
 impl Node {
@@ -28,15 +34,15 @@
         let reads = self.tell_reads(reads, now);
         let reads = reads.iter().map(|(endpoint, part)| (*endpoint, part.id, part.tokens));
         let loads = self.board.tellings(cleared, now);
-        Pulse { reads: reads.collect(), ..self.compose(loads) }
+        Pulse { reads: reads.collect(), ..self.compose(loads, now) }
     }
 
     /// The same with the loads of some endpoints only.
     pub fn pulse_of(&self, keys: &[EndpointKey], now: Moment) -> Pulse {
-        self.compose(self.board.tellings_of(keys, now))
+        self.compose(self.board.tellings_of(keys, now), now)
     }
 
-    fn compose(&self, loads: Vec<Telling>) -> Pulse {
+    fn compose(&self, loads: Vec<Telling>, now: Moment) -> Pulse {
         let (own, state) = self.own();
         Pulse {
             sender: self.digest,
@@ -46,6 +52,7 @@
             version: self.version().unwrap_or(0),
             loads: loads.into_iter().map(PulseLoad::from).collect(),
             reads: Vec::new(),
+            leavers: self.board.leavers_told(LEAVERS_TOLD, now),
         }
     }
 
@@ -58,20 +65,28 @@
         let reads =
             reads.map(|(endpoint, id, tokens)| (*endpoint, Part { id: *id, tokens: *tokens }));
         self.hear_reads(&reads.collect::<Vec<_>>(), now);
+        let leavers = pulse.leavers.iter();
+        let leavers =
+            leavers.filter_map(|(endpoint, born)| self.board.hear_leaving(*endpoint, *born, now));
+        let leavers = leavers.collect();
         let state = MemberState { ready: pulse.ready, leaving: pulse.leaving };
         let news = match pulse.identity.clone() {
             Some(identity) => self.members.note_heard(Member::from(identity), state, now),
             // Without its identity nothing is known of an instance; it is introduced soon.
             None => match self.members.note_alive(pulse.sender, state, now) {
                 Some(news) => news,
-                None => return Heard::default(),
+                None => return Heard { leavers, ..Heard::default() },
             },
         };
         let loads: Vec<Telling> = pulse.loads.iter().map(|load| Telling::from(*load)).collect();
         self.board.note_peer(pulse.sender, &loads, now);
         let newer = self.version().is_some_and(|own| pulse.version > own);
         let name = self.members.name(pulse.sender).filter(|_| news);
-        Heard { news: name.map(|name| (name, state)), behind: newer && !self.members.is_large() }
+        Heard {
+            news: name.map(|name| (name, state)),
+            behind: newer && !self.members.is_large(),
+            leavers,
+        }
     }
 
     /// Addresses of the collectors that this instance reports to. If it collects itself, it takes
--- a/crates/serve/src/plain.rs
+++ b/crates/serve/src/plain.rs
@@ -65,7 +65,7 @@
     if status.is_success() && !reply.facts.signed {
         return Err(Sent::Unknown("the answer is not signed".to_owned()));
     }
-    let (bytes, line) = reply.read(MAX_HELD_BYTES).await?;
+    let (bytes, held, line) = reply.read(&call.front.held, MAX_HELD_BYTES).await?;
     call.front.pool.put(ticket.place.key, line);
-    Ok(respond(status, headers, AnswerBody::whole(bytes)))
+    Ok(respond(status, headers, AnswerBody::held(bytes, held)))
 }
--- a/crates/serve/src/pulse.rs
+++ b/crates/serve/src/pulse.rs
@@ -17,7 +17,7 @@
 use crate::bulletins::note_bulletin;
 use crate::collectors::REPORT_CLEARED;
 use crate::datagram::{Datagram, Digest, MAX_BYTES, Pulse};
-use crate::events::{MEMBER_CHANGED, PULSE_MALFORMED, PULSE_UNSENT};
+use crate::events::{ENDPOINT_LEAVING, MEMBER_CHANGED, PULSE_MALFORMED, PULSE_UNSENT};
 use crate::front::Front;
 use crate::node::Heard;
 use crate::store::Table;
@@ -220,6 +220,9 @@
         log_event!(front.log, MEMBER_CHANGED, "member" => &*name, "ready" => state.ready,
             "leaving" => state.leaving);
     }
+    for name in heard.leavers {
+        log_event!(front.log, ENDPOINT_LEAVING, "endpoint" => &*name, "source" => "datagram");
+    }
     if heard.behind {
         front.behind.notify(Table::Configuration);
     }
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -14,6 +14,7 @@
 use crate::call::Call;
 use crate::dialect::Phase;
 use crate::events::{ATTEMPT_FAILED, RESUMED, STREAMED};
+use crate::held::Held;
 use crate::line::Line;
 use crate::node::Search;
 use crate::send::{Reply, Sent};
@@ -64,8 +65,9 @@
 
 async fn follow(mut call: Call, mut run: Run, pieces: mpsc::Sender<Piece>) {
     let mut events = EventSplitter::default();
+    let mut held = Held::new(&call.front.held);
     loop {
-        match forward(&call, &mut run, &mut events, &pieces).await {
+        match forward(&call, &mut run, &mut events, &mut held, &pieces).await {
             Ok(()) => {
                 run.ticket.note_done(events.events);
                 run.line.note_idle(run.idle);
@@ -87,6 +89,7 @@
     call: &Call,
     run: &mut Run,
     events: &mut EventSplitter,
+    held: &mut Held,
     pieces: &mpsc::Sender<Piece>,
 ) -> Result<(), Stop> {
     let stall = (call.route.pause * STALL_PAUSES).max(call.route.objective * 2);
@@ -115,6 +118,10 @@
         };
         let whole = events.push(&bytes);
         let whole = whole.map_err(|size| Stop::Broken(format!("event of {size} bytes")))?;
+        if !held.set(events.pending()) {
+            let cause = format!("no memory for an event of {} bytes", events.pending());
+            return Err(Stop::Broken(cause));
+        }
         if !whole.is_empty() {
             hand_on(pieces, whole).await?;
             // A caller that reads slowly does not make the stream a stalled one.
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -29,6 +29,7 @@
     LEAVING, LEFT, MEMBER_CHANGED, ROW_MALFORMED, ROW_UNWRITTEN, STARTED, TASK_FAILED,
 };
 use crate::front::{Behind, Front, Listener, accept};
+use crate::held::HeldTotal;
 use crate::hub::Hub;
 use crate::learn::learn_caches;
 use crate::listen::listen;
@@ -182,6 +183,7 @@
         dialect,
         store: store(),
         pool: Pool::default(),
+        held: HeldTotal::new(settings.machine.memory_mb),
         settings: RefCell::new(Rc::new(settings)),
         metrics,
         log,
--- a/crates/serve/src/send.rs
+++ b/crates/serve/src/send.rs
@@ -2,7 +2,10 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
+use agatestair_policy::EndpointKey;
+use agatestair_policy::board::MAX_PAUSE;
+use agatestair_runtime::log_event;
+use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_ENCODING, HOST};
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
@@ -10,7 +13,9 @@
 use tokio::time::{Duration, timeout};
 
 use crate::dialect::{AnswerFacts, Outbound};
+use crate::events::{ANSWER_ODD, ENDPOINT_LEAVING, ENDPOINT_PAUSED};
 use crate::front::Front;
+use crate::held::{Held, HeldTotal};
 use crate::line::{Line, LineFault, LineSettings};
 use crate::node::Place;
 
@@ -62,22 +67,42 @@
     },
     /// Nothing was sent.
     Unsent(String),
+    /// Nothing was sent, since the endpoint has come to want no work.
+    Withheld,
     /// The request may have run.
     Unknown(String),
 }
 
 impl Reply {
-    /// Reads the whole body; returns the connection, which can be used again then.
+    /// Reads the whole body; returns the connection, which can be used again then, and what the
+    /// body takes of the memory for answers.
     ///
     /// # Errors
     ///
-    /// [`Sent::Unknown`] if the body is cut or larger than the bound.
-    pub async fn read(self, max_bytes: usize) -> Result<(Bytes, Line), Sent> {
-        let Self { body, facts, mut line, .. } = self;
-        let body = Limited::new(body, max_bytes).collect().await;
-        let body = body.map_err(|error| Sent::Unknown(format!("answer cut: {error}")))?;
+    /// [`Sent::Unknown`] if the body is cut, larger than the bound or than the memory left.
+    pub async fn read(
+        self,
+        total: &HeldTotal,
+        max_bytes: usize,
+    ) -> Result<(Bytes, Held, Line), Sent> {
+        let Self { mut body, facts, mut line, .. } = self;
+        let mut held = Held::new(total);
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| Sent::Unknown(format!("answer cut: {error}")))?;
+            let data = frame.into_data().unwrap_or_default();
+            let size = bytes.len() + data.len();
+            if size > max_bytes {
+                return Err(Sent::Unknown(format!("answer of more than {max_bytes} bytes")));
+            }
+            if !held.set(size) {
+                let cause = format!("no memory for an answer of more than {} bytes", bytes.len());
+                return Err(Sent::Unknown(cause));
+            }
+            bytes.extend_from_slice(&data);
+        }
         line.note_idle(facts.idle);
-        Ok((body.to_bytes(), line))
+        Ok((bytes.freeze(), held, line))
     }
 }
 
@@ -97,6 +122,10 @@
                 Err(error) => return Sent::Unsent(format!("no connection: {error}")),
             },
         };
+        let (key, trial) = (place.key, place.trial);
+        if !trial && front.hub.ask(move |node, now| node.board.is_paused(key, now)) {
+            return Sent::Withheld;
+        }
         match line.send(request).await {
             Ok(answer) => break (line, answer),
             Err(LineFault::Unsent(back)) if !fresh => request = *back,
@@ -107,6 +136,8 @@
     let (head, body) = answer.into_parts();
     let facts = (front.dialect.read_answer)(&head.headers);
     line.note_idle(facts.idle);
+    let speaker = Speaker { key: place.key, name: &place.name };
+    note_standing(front, speaker, passed.id.as_deref(), head.status, &facts);
     if let (Some(echo), Some(id)) = (&facts.echo, &passed.id)
         && **echo != **id
     {
@@ -143,6 +174,48 @@
     request
 }
 
+/// The endpoint that an answer is from.
+#[derive(Clone, Copy, Debug)]
+pub struct Speaker<'a> {
+    /// Its key.
+    pub key: EndpointKey,
+    /// Its name.
+    pub name: &'a str,
+}
+
+/// Takes over what the head of an endpoint's answer says of further work there.
+pub fn note_standing(
+    front: &Front,
+    speaker: Speaker<'_>,
+    id: Option<&str>,
+    status: StatusCode,
+    facts: &AnswerFacts,
+) {
+    // Another endpoint has the address and speaks for itself.
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let Speaker { key, name } = speaker;
+    if facts.leaving && front.hub.ask(move |node, now| node.board.note_leaving(key, now)) {
+        metrics::counter!("agatestair_serve_leavings_total").increment(1);
+        log_event!(front.log, ENDPOINT_LEAVING, "request" => id, "endpoint" => name,
+            "source" => "answer", "status" => status.as_u16());
+    }
+    let told = facts.retry.as_ref().filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+    if let Some(Ok(told)) = told.cloned() {
+        front.hub.ask(move |node, now| node.board.note_pause(key, told, now));
+        metrics::counter!("agatestair_serve_pauses_total").increment(1);
+        log_event!(front.log, ENDPOINT_PAUSED, "request" => id, "endpoint" => name,
+            "ms" => told.min(MAX_PAUSE).as_millis() as u64);
+    }
+    if let Some(Err(fault)) = told
+        && front.hub.ask(move |node, _| node.board.note_odd(key))
+    {
+        log_event!(front.log, ANSWER_ODD, "request" => id, "endpoint" => name,
+            "error" => fault.to_string());
+    }
+}
+
 /// Reads the rest of a refusal, which mostly has come with its head, and keeps the connection.
 async fn keep_after_refusal(front: &Front, place: &Place, line: Line, body: Incoming) {
     let rest = timeout(REFUSAL_REST, Limited::new(body, REFUSAL_BYTES).collect()).await;
--- a/crates/serve/src/split.rs
+++ b/crates/serve/src/split.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use agatestair_policy::EndpointKey;
@@ -19,7 +20,7 @@
 use crate::line::ask_once;
 use crate::node::Search;
 use crate::relay::relay;
-use crate::send::{Reply, Sent};
+use crate::send::{Reply, Sent, Speaker, note_standing};
 use crate::ticket::Ticket;
 
 /// Greatest size of the answer to a request whose prompt was read.
@@ -43,6 +44,7 @@
 pub struct Handle {
     front: Rc<Front>,
     source: EndpointKey,
+    endpoint: Arc<str>,
     address: SocketAddr,
     name: HandleName,
     taken: bool,
@@ -51,15 +53,24 @@
 impl Drop for Handle {
     fn drop(&mut self) {
         if !self.taken {
-            tokio::task::spawn_local(free(self.front.clone(), self.address, self.name.clone()));
+            let (front, endpoint) = (self.front.clone(), self.endpoint.clone());
+            let (source, address, name) = (self.source, self.address, self.name.clone());
+            tokio::task::spawn_local(async move {
+                let speaker = Speaker { key: source, name: &endpoint };
+                free(&front, speaker, address, &name).await;
+            });
         }
     }
 }
 
-async fn free(front: Rc<Front>, address: SocketAddr, name: HandleName) {
-    let call = (front.dialect.free_handle)(&name);
-    if let Err(error) = ask_once(call, address, FREE_TIME, MAX_HANDLE_BYTES).await {
-        log_event!(front.log, HANDLE_KEPT, "handle" => &*name, "error" => error);
+async fn free(front: &Front, speaker: Speaker<'_>, address: SocketAddr, name: &HandleName) {
+    let call = (front.dialect.free_handle)(name);
+    match ask_once(call, address, FREE_TIME, MAX_HANDLE_BYTES).await {
+        Ok(answer) => {
+            let facts = (front.dialect.read_answer)(answer.headers());
+            note_standing(front, speaker, None, answer.status(), &facts);
+        }
+        Err(error) => log_event!(front.log, HANDLE_KEPT, "handle" => &**name, "error" => error),
     }
 }
 
@@ -99,7 +110,7 @@
             }
             sent => {
                 // A refused engine may not have got the prompt, and its handle is used up then.
-                if !matches!(sent, Sent::Unsent(_)) {
+                if !matches!(sent, Sent::Unsent(_) | Sent::Withheld) {
                     handle = None;
                     split = false;
                 }
@@ -159,6 +170,14 @@
             (Trouble::Refused, format!("refused, status {}", status.as_u16()))
         }
         Ok(Err(Sent::Unsent(cause) | Sent::Unknown(cause))) => (Trouble::Broken, cause),
+        Ok(Err(Sent::Withheld)) => {
+            call.tried.push(ticket.place.key);
+            return if call.may_connect_again() {
+                Ok(None)
+            } else {
+                Err(not_run(BACK, "endpoints want no work"))
+            };
+        }
         Ok(Err(Sent::Answered(_))) => unreachable!("an answer is no failure"),
         Err(_) => (Trouble::Broken, "prompt not read in time".to_owned()),
     };
@@ -168,7 +187,7 @@
 
 async fn take_handle(call: &Call, ticket: &Ticket, reply: Reply) -> Result<Handle, Sent> {
     let status = reply.status;
-    let (bytes, line) = reply.read(MAX_HANDLE_BYTES).await?;
+    let (bytes, _, line) = reply.read(&call.front.held, MAX_HANDLE_BYTES).await?;
     if !status.is_success() {
         return Err(Sent::Unknown(format!("status {}", status.as_u16())));
     }
@@ -178,6 +197,7 @@
     Ok(Handle {
         front: call.front.clone(),
         source: ticket.place.key,
+        endpoint: ticket.place.name.clone(),
         address: ticket.place.address,
         name,
         taken: false,
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -48,6 +48,11 @@
         Ok(self.pending.split_to(end).freeze())
     }
 
+    /// Bytes of an event that is not whole yet.
+    pub fn pending(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Bytes after the last whole event, taken out.
     pub fn rest(&mut self) -> Bytes {
         self.pending.split().freeze()
--- a/crates/serve/tests/collect.rs
+++ b/crates/serve/tests/collect.rs
@@ -269,6 +269,30 @@
     }
 }
 
+#[gtest]
+fn an_announced_leaving_reaches_all_instances() {
+    for size in [30, 100, 343] {
+        let mut world = World::new(size);
+        world.play(Duration::from_secs(1));
+        let leaves = |instance: &Instance| {
+            instance.node.board.seats[instance.keys[ENDPOINTS - 1]].is_leaving()
+        };
+        let begun = world.now;
+        let first = &mut world.instances[18];
+        expect_that!(first.node.board.note_leaving(first.keys[ENDPOINTS - 1], begun), eq(true));
+        while !world.instances.iter().all(leaves) {
+            world.play_round();
+            assert!(world.now.since(begun) <= KNOWN_WITHIN, "{size} instances");
+        }
+        // The store's word does not bring it back, a new start does.
+        let key = world.instances[7].node.note_endpoint(endpoint(ENDPOINTS - 1));
+        expect_that!(world.instances[7].node.board.is_open(key), eq(false));
+        let next = SeatFacts { born: 2, ..endpoint(ENDPOINTS - 1) };
+        let key = world.instances[7].node.note_endpoint(next);
+        expect_that!(world.instances[7].node.board.is_open(key), eq(true));
+    }
+}
+
 #[gtest]
 fn what_an_instance_sends_does_not_grow_with_the_fleet() {
     let seconds = 4;
--- a/crates/serve/tests/parts.rs
+++ b/crates/serve/tests/parts.rs
@@ -363,6 +363,7 @@
         version: 9,
         loads: vec![load; 30],
         reads: vec![(7, 8, 900); 10],
+        leavers: vec![(3, 5)],
     }
 }
 
