Callers who come back are served late rather than refused again

Cause: a generation was refused whenever it could not begin within its objective, also for a caller who had been refused before.

--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -46,6 +46,8 @@
     pub service: Arc<Service>,
     /// Version of the configuration that the route is from.
     pub version: u64,
+    /// Whether its caller has probably been refused before.
+    pub returned: bool,
     /// When it arrived.
     pub arrived: Instant,
     /// When its time is over.
@@ -92,7 +94,8 @@
     /// [`Denial`] if there is no place.
     pub fn place(&self, search: Search) -> Result<Ticket, Denial> {
         let mut wanted = self.wanted();
-        if matches!(search, Search::Run { .. }) && self.sends == 0 {
+        // An answer to a caller who comes back is late already, and still worth something.
+        if matches!(search, Search::Run { .. }) && self.sends == 0 && !self.returned {
             wanted.aim = wanted.limit.min(self.route.objective);
             wanted.slack = self.route.objective.mul_f64(SLACK_SHARE);
         }
@@ -117,7 +120,7 @@
             "cause" => format!("{:?}", denial.cause), "version" => self.version,
             "back_ms" => denial.back.as_millis() as u64,
             "aim_ms" => self.route.objective.as_millis() as u64,
-            "left_ms" => self.left().as_millis() as u64, "sends" => self.sends);
+            "left_ms" => self.left().as_millis() as u64, "sends" => self.sends, "returned" => self.returned);
     }
 
     fn log_place(&self, search: Search, place: &Place) {
