Streams that may not run again go on from a copy of their memory

Change: such a run names an engine that gets a copy of its memory, the least filled one of the same failure domain. When the stream breaks off or stalls, it goes on there after the last whole event, as the same run.

--- a/crates/policy/src/board/choose.rs
+++ b/crates/policy/src/board/choose.rs
@@ -229,6 +229,38 @@
         within(ways, wanted).unwrap_or_else(|| Err(self.no_place(wanted, Some(Stage::Decode), now)))
     }
 
+    /// The same at a given engine, which has a copy of the run's memory.
+    ///
+    /// # Errors
+    ///
+    /// [`Denial`] if the engine takes no work.
+    pub fn choose_at(
+        &self,
+        wanted: &Wanted,
+        at: EndpointKey,
+        now: Moment,
+    ) -> Result<Choice, Denial> {
+        let mut open = self.open(wanted, Some(Stage::Decode), now);
+        let seat = open.find(|(key, _)| *key == at).map(|(_, seat)| seat);
+        let way = seat.map(|seat| self.decode_way(at, seat, wanted, false, now));
+        way.map(|way| way.choice).ok_or_else(|| self.no_place(wanted, Some(Stage::Decode), now))
+    }
+
+    /// The engine that should get a copy of a run's memory: the least filled one, near the run's own.
+    ///
+    /// Answers the loss of engines: a stream that may not run again goes on from the copy.
+    pub fn choose_backup(
+        &self,
+        wanted: &Wanted,
+        run: EndpointKey,
+        now: Moment,
+    ) -> Option<EndpointKey> {
+        let domain = &self.seats.get(run)?.facts.domain;
+        let others = self.open(wanted, Some(Stage::Decode), now).filter(|(key, _)| *key != run);
+        let filled = |seat: &Seat| (seat.facts.domain != *domain, seat.load(now).context);
+        others.min_by_key(|(_, seat)| filled(seat)).map(|(key, _)| key)
+    }
+
     /// The engine of a stage that the hash of a prompt's largest shared part prefers.
     fn home(&self, wanted: &Wanted, stage: Stage, now: Moment) -> Option<EndpointKey> {
         let (_, shared) = wanted.parts.split_last()?;
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -15,7 +15,7 @@
 use crate::dialect::{CallFacts, Outbound, Phase};
 use crate::events::{ATTEMPT_FAILED, DENIED, ENDPOINT_EJECTED, PLACED};
 use crate::front::Front;
-use crate::node::{Place, Search};
+use crate::node::{Backup, Place, Search};
 use crate::send::{Passed, Sent, send};
 use crate::ticket::Ticket;
 
@@ -60,6 +60,8 @@
     pub runs: u32,
     /// Connections tried in vain.
     pub unsent: u32,
+    /// Engine with a copy of the memory of the run in work.
+    pub backup: Option<Backup>,
 }
 
 impl Call {
@@ -134,12 +136,14 @@
 
     /// Sends the request to a place.
     pub async fn send(&mut self, ticket: &Ticket, phase: Phase<'_>, resume: Option<&str>) -> Sent {
+        self.backup = self.place_backup(ticket, phase);
         let outbound = Outbound {
             deadline: self.left(),
             endpoint: &ticket.place.name,
             rank: self.route.rank,
             phase,
             fetch: ticket.place.fetch,
+            backup: self.backup.map(|backup| backup.address),
             resume,
         };
         let sent = send(&self.front, &ticket.place, &self.passed, &outbound).await;
@@ -149,6 +153,23 @@
         sent
     }
 
+    /// The engine that gets a copy of the run's memory, if the run could not go on without one.
+    fn place_backup(&self, ticket: &Ticket, phase: Phase<'_>) -> Option<Backup> {
+        let runs = !matches!(phase, Phase::Read) && self.facts.prompt.is_some();
+        let lost = self.route.kind.is_stream() && !self.may_repeat();
+        if !runs || !lost {
+            return None;
+        }
+        let (wanted, key, connections) =
+            (self.wanted(), ticket.place.key, self.service.connections);
+        self.front.hub.ask(move |node, now| node.place_backup(&wanted, key, connections, now))
+    }
+
+    /// Whether the request may run once more by its kind.
+    pub fn may_repeat(&self) -> bool {
+        self.route.kind.may_repeat() && self.runs < self.route.attempts
+    }
+
     /// Notes that an attempt failed at its endpoint, which is not used again.
     pub fn note_failed(&mut self, ticket: &Ticket, trouble: Trouble, cause: &str) {
         self.tried.push(ticket.place.key);
@@ -173,7 +194,7 @@
 
     /// Whether the request may run once more after it may have run; takes it from the budget.
     pub fn may_run_again(&self) -> bool {
-        self.route.kind.may_repeat() && self.runs < self.route.attempts && self.may_send_again()
+        self.may_repeat() && self.may_send_again()
     }
 
     /// Whether one more connection may be tried.
--- a/crates/serve/src/dialect.rs
+++ b/crates/serve/src/dialect.rs
@@ -51,7 +51,7 @@
     pub expected: Option<u32>,
 }
 
-/// Name of a prompt that an engine keeps for another one.
+/// Name of memory that an engine keeps for another one.
 pub type HandleName = Arc<str>;
 
 /// Which part of a run an endpoint is asked for.
@@ -61,11 +61,11 @@
     Whole,
     /// Only reading the prompt.
     Read,
-    /// Generating from a prompt that another engine has read.
+    /// Generating from memory that an engine keeps: of a prompt that it has read, or of a run.
     Generate {
         /// Address of that engine.
         source: SocketAddr,
-        /// Name of the prompt there.
+        /// Name of the memory there.
         handle: &'a HandleName,
     },
 }
@@ -83,6 +83,8 @@
     pub phase: Phase<'a>,
     /// Engine that parts of the prompt should be fetched from.
     pub fetch: Option<SocketAddr>,
+    /// Engine that gets a copy of the run's memory as it grows.
+    pub backup: Option<SocketAddr>,
     /// Last event that the caller has, when a stream is resumed.
     pub resume: Option<&'a str>,
 }
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -132,6 +132,7 @@
         sends: 0,
         runs: 0,
         unsent: 0,
+        backup: None,
     };
     let (service, name) = (call.service.name.clone(), route.clone());
     front.hub.ask(move |node, now| node.note_first(&service, now));
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -99,6 +99,15 @@
     pub trial: bool,
 }
 
+/// An engine with a copy of a run's memory.
+#[derive(Clone, Copy, Debug)]
+pub struct Backup {
+    /// Its key.
+    pub key: EndpointKey,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
 /// Which endpoint is looked for.
 #[derive(Clone, Copy, Debug)]
 pub enum Search {
@@ -111,6 +120,8 @@
     },
     /// One that generates, after the given one has read the prompt.
     Generate(EndpointKey),
+    /// The given one, which has a copy of the run's memory.
+    Copy(EndpointKey),
 }
 
 impl Search {
@@ -121,6 +132,7 @@
             Self::Run { split: true } => "run",
             Self::Run { split: false } => "whole run",
             Self::Generate(_) => "generate",
+            Self::Copy(_) => "copy",
         }
     }
 }
@@ -306,6 +318,7 @@
             }
             Search::Run { split } => self.board.choose_run(&wanted, split, now),
             Search::Generate(source) => self.board.choose_decode(&wanted, source, now),
+            Search::Copy(at) => self.board.choose_at(&wanted, at, now),
         }?;
         if wanted.prompt >= self.board.settings.costs.notable {
             self.note_read(choice.key, &wanted.parts, now);
@@ -313,6 +326,19 @@
         Ok(self.take(choice, now))
     }
 
+    /// The engine that should get a copy of the memory of a run at another one.
+    pub fn place_backup(
+        &self,
+        wanted: &Wanted,
+        run: EndpointKey,
+        connections: u32,
+        now: Moment,
+    ) -> Option<Backup> {
+        let wanted = Wanted { share: self.connection_share(connections, now), ..wanted.clone() };
+        let key = self.board.choose_backup(&wanted, run, now)?;
+        Some(Backup { key, address: self.board.seats[key].facts.address })
+    }
+
     /// Work that others may have placed at one endpoint since they were last heard.
     fn unseen(&self) -> Duration {
         UNSEEN_WORK
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -12,7 +12,7 @@
 
 use crate::body::{AnswerBody, Piece, QUEUED_PIECES};
 use crate::call::Call;
-use crate::dialect::Phase;
+use crate::dialect::{HandleName, Phase};
 use crate::events::{ATTEMPT_FAILED, RESUMED, STREAMED};
 use crate::held::Held;
 use crate::line::Line;
@@ -96,8 +96,8 @@
     // Bytes that complete no event do not show that a stream goes on.
     let mut last = Instant::now();
     loop {
-        let resumable = call.route.kind.may_repeat() && call.runs < call.route.attempts;
-        let until = if resumable { (last + stall).min(call.limit) } else { call.limit };
+        let goes_on = call.may_repeat() || call.backup.is_some();
+        let until = if goes_on { (last + stall).min(call.limit) } else { call.limit };
         let frame = tokio::select! {
             frame = timeout_at(until, run.body.frame()) => frame,
             () = pieces.closed() => return Err(Stop::Left),
@@ -160,6 +160,9 @@
         // The former run ends with its connection before another one begins.
         drop(run);
         events.rest();
+        if let Some(next) = take_over(call, events).await {
+            return Some(next);
+        }
         while call.may_run_again() {
             match resume(call, events).await {
                 Ok(next) => return Some(next),
@@ -178,13 +181,33 @@
     None
 }
 
+/// Goes on with a run at the engine that has a copy of its memory; it counts as the same run.
+async fn take_over(call: &mut Call, events: &EventSplitter) -> Option<Run> {
+    let backup = call.backup.take()?;
+    let run = call.passed.id.as_deref().map(HandleName::from)?;
+    if !call.may_send_again() {
+        return None;
+    }
+    let phase = Phase::Generate { source: backup.address, handle: &run };
+    begin_again(call, Search::Copy(backup.key), phase, events).await.ok()
+}
+
 /// Begins a further run after the last whole event.
 async fn resume(call: &mut Call, events: &EventSplitter) -> Result<Run, NotResumed> {
-    let place = call.place(Search::Run { split: false });
+    begin_again(call, Search::Run { split: false }, Phase::Whole, events).await
+}
+
+async fn begin_again(
+    call: &mut Call,
+    search: Search,
+    phase: Phase<'_>,
+    events: &EventSplitter,
+) -> Result<Run, NotResumed> {
+    let place = call.place(search);
     let mut ticket = place.map_err(|_| NotResumed::Over)?;
     let last = events.last.clone();
     let limit = call.limit;
-    let sent = timeout_at(limit, call.send(&ticket, Phase::Whole, last.as_deref())).await;
+    let sent = timeout_at(limit, call.send(&ticket, phase, last.as_deref())).await;
     let reply = match sent {
         Ok(Sent::Answered(reply)) if reply.status.is_success() && reply.facts.signed => reply,
         Ok(sent) => {
@@ -199,6 +222,6 @@
     call.runs += 1;
     ticket.note_first();
     log_event!(call.front.log, RESUMED, "request" => call.passed.id.as_deref(),
-        "endpoint" => &*ticket.place.name, "after" => last);
+        "endpoint" => &*ticket.place.name, "after" => last, "search" => search.label());
     Ok(Run::new(ticket, *reply))
 }
