--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -218,6 +218,28 @@
         news
     }
 
+    /// No connection to an endpoint succeeds; returns whether that is news.
+    pub fn note_dark(&mut self, key: EndpointKey) -> bool {
+        self.seats.get_mut(key).is_some_and(|seat| !std::mem::replace(&mut seat.dark, true))
+    }
+
+    /// An endpoint can be reached again.
+    pub fn note_reached(&mut self, key: EndpointKey) {
+        if let Some(seat) = self.seats.get_mut(key) {
+            seat.dark = false;
+        }
+    }
+
+    /// Whether no connection to an endpoint succeeds.
+    pub fn is_dark(&self, key: EndpointKey) -> bool {
+        self.seats.get(key).is_some_and(|seat| seat.dark)
+    }
+
+    /// Name of an endpoint, if it is still listed.
+    pub fn name(&self, key: EndpointKey) -> Option<Arc<str>> {
+        self.seats.get(key).map(|seat| seat.facts.name.clone())
+    }
+
     /// An endpoint wants no work for a while.
     pub fn note_pause(&mut self, key: EndpointKey, told: Duration, now: Moment) {
         if let Some(seat) = self.seats.get_mut(key) {
--- a/crates/policy/src/board/choose.rs
+++ b/crates/policy/src/board/choose.rs
@@ -310,7 +310,7 @@
         }
         let others = self.members(&wanted.service).iter().filter(|other| {
             let source = &self.seats[**other];
-            **other != key && !source.is_leaving() && !source.trust.is_ejected(now)
+            **other != key && !source.is_leaving() && !source.is_avoided(now)
         });
         let fetches = others.filter_map(|other| {
             let source = &self.seats[*other];
@@ -450,7 +450,7 @@
         }
     }
 
-    /// Endpoints that take an attempt: ejected ones only if there are no others, and ones that want
+    /// Endpoints that take an attempt: avoided ones only if there are no others, and ones that want
     /// no work, once each, only if all want none.
     fn open<'a>(
         &'a self,
@@ -472,10 +472,9 @@
             let may_try = all_paused && self.seats[*key].standing.may_try(now);
             usable(key) && (willing(key) || may_try)
         };
-        let trusted =
-            members.iter().any(|key| usable(key) && !self.seats[*key].trust.is_ejected(now));
+        let trusted = members.iter().any(|key| usable(key) && !self.seats[*key].is_avoided(now));
         let kept = move |key: &&EndpointKey| {
-            usable(key) && (!trusted || !self.seats[**key].trust.is_ejected(now))
+            usable(key) && (!trusted || !self.seats[**key].is_avoided(now))
         };
         members.iter().filter(kept).map(|key| (*key, &self.seats[*key]))
     }
--- a/crates/policy/src/board/seat.rs
+++ b/crates/policy/src/board/seat.rs
@@ -58,6 +58,8 @@
     pub cleared: Option<Moment>,
     /// Failures and pace.
     pub trust: Trust,
+    /// Whether no connection to it succeeds.
+    pub dark: bool,
     /// What the endpoint itself has said of further work.
     pub standing: Standing,
     /// Last word of the endpoint on its pace, to this instance.
@@ -77,6 +79,7 @@
             peers: PeerLoads::default(),
             cleared: None,
             trust: Trust::default(),
+            dark: false,
             standing: Standing::default(),
             heard: None,
             paced: None,
@@ -89,6 +92,12 @@
         self.facts.leaving || self.standing.leaving
     }
 
+    /// Whether it gets no work as long as there are others: it failed too often, or cannot be
+    /// reached.
+    pub fn is_avoided(&self, now: Moment) -> bool {
+        self.dark || self.trust.is_ejected(now)
+    }
+
     /// Work of all instances.
     pub fn load(&self, now: Moment) -> Load {
         self.own + self.peers.sum(now)
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -138,6 +138,69 @@
     expect_that!(denial.cause, eq(DenialCause::NoEndpoint));
 }
 
+#[gtest]
+fn an_endpoint_out_of_reach_gets_work_only_if_there_is_no_other() {
+    let mut board = Board::new(BoardSettings::default());
+    let one = board.upsert(seat("one", None));
+    let two = board.upsert(seat("two", None));
+    expect_that!(board.note_dark(one), eq(true));
+    expect_that!(board.note_dark(one), eq(false), "told once");
+    for _ in 0..8 {
+        let choice = board.choose_plain(&ask(), now()).expect("the other takes work");
+        expect_that!(choice.key, eq(two));
+        board.start(choice.key, choice.load);
+    }
+    board.note_dark(two);
+    expect_that!(board.choose_plain(&ask(), now()).is_ok(), eq(true));
+    board.note_reached(one);
+    expect_that!(board.choose_plain(&ask(), now()).map(|choice| choice.key), ok(eq(one)));
+}
+
+/// Engines that may get a copy of a run at `e0`, which is in domain `a`.
+struct BackupCase {
+    name: &'static str,
+    /// Domain, tokens in memory and whether it can be reached, of each further engine.
+    others: &'static [(&'static str, u32, bool)],
+    chosen: Option<usize>,
+}
+
+const BACKUPS: [BackupCase; 5] = [
+    BackupCase { name: "none", others: &[], chosen: None },
+    BackupCase {
+        name: "the emptier",
+        others: &[("a", 900, true), ("a", 100, true)],
+        chosen: Some(1),
+    },
+    BackupCase { name: "the nearer", others: &[("b", 0, true), ("a", 900, true)], chosen: Some(1) },
+    BackupCase { name: "one far away", others: &[("b", 500, true)], chosen: Some(0) },
+    BackupCase {
+        name: "not one that is lost",
+        others: &[("a", 0, false), ("a", 9, true)],
+        chosen: Some(1),
+    },
+];
+
+#[gtest]
+fn copies_of_runs_go_to_engines_nearby_with_room() {
+    for case in &BACKUPS {
+        let mut board = Board::new(BoardSettings::default());
+        let run = board.upsert(seat("e0", Some(Stage::Decode)));
+        let names = ["e1", "e2"];
+        let keys = case.others.iter().zip(names).map(|((domain, context, reached), name)| {
+            let domain = (*domain).into();
+            let key = board.upsert(SeatFacts { domain, ..seat(name, Some(Stage::Decode)) });
+            board.start(key, Load { attempts: 1, context: *context, ..Load::default() });
+            if !reached {
+                board.note_dark(key);
+            }
+            key
+        });
+        let keys: Vec<_> = keys.collect();
+        let chosen = board.choose_backup(&ask(), run, now());
+        expect_that!(chosen, eq(case.chosen.map(|index| keys[index])), "{}", case.name);
+    }
+}
+
 #[gtest]
 fn an_endpoint_that_started_again_is_a_new_one() {
     let mut board = Board::new(BoardSettings::default());
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -102,6 +102,12 @@
 /// A bulletin goes out without its rows, which are too much for this instance's link.
 pub const BULLETIN_BARE: Event =
     Event { number: 5040, level: Level::Info, text: "bulletin without rows, link too narrow" };
+/// A silent endpoint cannot be connected to; it gets no work until it can.
+pub const ENDPOINT_DARK: Event =
+    Event { number: 5041, level: Level::Info, text: "endpoint cannot be reached" };
+/// An endpoint can be connected to again.
+pub const ENDPOINT_REACHED: Event =
+    Event { number: 5042, level: Level::Info, text: "endpoint reached again" };
 /// All events of this crate.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -141,4 +147,6 @@
     ENDPOINT_PAUSED,
     ANSWER_ODD,
     BULLETIN_BARE,
+    ENDPOINT_DARK,
+    ENDPOINT_REACHED,
 ];
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -32,6 +32,11 @@
         self.own = None;
     }
 
+    /// Whether the store's last call by this instance failed.
+    pub fn is_away(&self) -> bool {
+        self.away.is_some()
+    }
+
     /// The store answers.
     pub fn note_back(&mut self, now: Moment) {
         self.answered = now;
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -11,7 +11,7 @@
 use hyper::Request;
 use hyper::body::Incoming;
 use rand::Rng;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Duration, Instant, sleep, timeout_at};
 
 use crate::answer::{DEFAULT_BACK, Failure, strip_hop_headers};
 use crate::body::AnswerBody;
@@ -24,6 +24,13 @@
 use crate::send::Passed;
 use crate::split;
 
+/// Longest time that a request waits for what a process reads at its start: some ten calls of the
+/// store.
+const START_WAIT: Duration = Duration::from_millis(250);
+
+/// Time between two looks whether it has been read.
+const START_LOOK: Duration = Duration::from_millis(4);
+
 /// Share of the memory that callers' bodies may take.
 const BODY_SHARE: f64 = 0.3;
 
@@ -90,6 +97,7 @@
     id: Option<Rc<str>>,
     arrived: Instant,
 ) -> Outcome {
+    wait_known(front).await;
     let (head, body) = request.into_parts();
     let host = head.uri.host().map(str::to_owned).or_else(|| text(&head.headers, &HOST));
     let path = head.uri.path().to_owned();
@@ -141,6 +149,16 @@
     answer.map(|answer| (name, answer)).map_err(|failure| (Some(route), failure))
 }
 
+/// Waits a moment for the first reading of configuration and endpoints, unless the store is away.
+///
+/// Callers connect to a process that starts again before it has read anything.
+async fn wait_known(front: &Front) {
+    let until = Instant::now() + START_WAIT;
+    while front.hub.ask(|node, _| node.is_starting()) && Instant::now() < until {
+        sleep(START_LOOK).await;
+    }
+}
+
 fn text(headers: &HeaderMap, name: &http::HeaderName) -> Option<String> {
     headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -35,6 +35,7 @@
 mod plain;
 mod pool;
 mod pulse;
+mod reach;
 mod relay;
 mod reload;
 mod run;
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -235,7 +235,16 @@
 
     /// Whether this instance may serve callers.
     pub fn is_ready(&self) -> bool {
-        !self.leaving && self.configuration.is_some() && self.fleet.known
+        !self.leaving && self.is_known()
+    }
+
+    /// Whether the first reading of configuration and endpoints is still to come.
+    pub fn is_starting(&self) -> bool {
+        !(self.is_known() || self.fleet.is_away())
+    }
+
+    fn is_known(&self) -> bool {
+        self.configuration.is_some() && self.fleet.known
     }
 
     /// This instance as it tells others of itself.
--- /dev/null
+++ b/crates/serve/src/reach.rs
@@ -0,0 +1,70 @@
+//! Whether endpoints that are silent can still be reached.
+//!
+//! A machine without power or behind a cut answers nothing, and its connections hang until the
+//! kernel gives them up. A new connection tells within a fraction of a second.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use agatestair_policy::EndpointKey;
+use agatestair_runtime::log_event;
+use rand::Rng;
+use tokio::time::{Instant, sleep};
+
+use crate::events::{ENDPOINT_DARK, ENDPOINT_REACHED};
+use crate::front::Front;
+use crate::line::{Line, LineSettings};
+use crate::node::Place;
+
+/// First pause before an endpoint that could not be reached is tried again.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest such pause.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
+
+/// Waits until an endpoint turns out to be out of reach: after each `quiet` time without an answer
+/// a new connection is tried.
+pub async fn lost(front: &Rc<Front>, place: &Place, quiet: Duration) {
+    loop {
+        sleep(quiet).await;
+        let key = place.key;
+        if front.hub.ask(move |node, _| node.board.is_dark(key)) {
+            return;
+        }
+        match Line::open(place.address, &LineSettings::default()).await {
+            Ok(line) => front.pool.put(key, line),
+            Err(error) => return note_dark(front, place, &error.to_string()),
+        }
+    }
+}
+
+/// Takes an endpoint out until a connection succeeds.
+pub fn note_dark(front: &Rc<Front>, place: &Place, cause: &str) {
+    let key = place.key;
+    if !front.hub.ask(move |node, _| node.board.note_dark(key)) {
+        return;
+    }
+    metrics::counter!("agatestair_serve_dark_total").increment(1);
+    log_event!(front.log, ENDPOINT_DARK, "endpoint" => &*place.name, "cause" => cause);
+    let (front, place) = (front.clone(), place.clone());
+    tokio::task::spawn_local(async move { watch(&front, key, place.address).await });
+}
+
+/// Tries to connect until that succeeds or the endpoint is gone.
+async fn watch(front: &Front, key: EndpointKey, address: SocketAddr) {
+    let begun = Instant::now();
+    let mut pause = FIRST_PAUSE;
+    while front.hub.ask(move |node, _| node.board.is_dark(key)) {
+        // Instances that lost an endpoint together do not come back to it together.
+        sleep(pause.mul_f64(0.5 + rand::rng().random::<f64>())).await;
+        pause = (pause * 2).min(MAX_PAUSE);
+        if let Ok(line) = Line::open(address, &LineSettings::default()).await {
+            front.pool.put(key, line);
+            front.hub.ask(move |node, _| node.board.note_reached(key));
+            let name = front.hub.ask(move |node, _| node.board.name(key));
+            log_event!(front.log, ENDPOINT_REACHED, "endpoint" => name.as_deref(),
+                "ms" => begun.elapsed().as_millis() as u64);
+        }
+    }
+}
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::held::Held;
 use crate::line::Line;
 use crate::node::Search;
+use crate::reach::lost;
 use crate::send::{Reply, Sent};
 use crate::stream::EventSplitter;
 use crate::ticket::Ticket;
@@ -100,6 +101,9 @@
         let until = if goes_on { (last + stall).min(call.limit) } else { call.limit };
         let frame = tokio::select! {
             frame = timeout_at(until, run.body.frame()) => frame,
+            () = lost(&call.front, &run.ticket.place, call.route.pause), if goes_on => {
+                return Err(Stop::Broken("the endpoint cannot be reached".to_owned()));
+            }
             () = pieces.closed() => return Err(Stop::Left),
         };
         let bytes = match frame {
--- a/crates/serve/src/send.rs
+++ b/crates/serve/src/send.rs
@@ -18,6 +18,7 @@
 use crate::held::{Held, HeldTotal};
 use crate::line::{Line, LineFault, LineSettings};
 use crate::node::Place;
+use crate::reach::note_dark;
 
 /// Longest wait for the rest of a refusal, so that its connection can be used again.
 const REFUSAL_REST: Duration = Duration::from_millis(20);
@@ -109,7 +110,12 @@
 /// Sends a request to an endpoint and waits for the head of the answer.
 ///
 /// Dropping the future closes the connection, at which the endpoint drops the request.
-pub async fn send(front: &Front, place: &Place, passed: &Passed, outbound: &Outbound<'_>) -> Sent {
+pub async fn send(
+    front: &Rc<Front>,
+    place: &Place,
+    passed: &Passed,
+    outbound: &Outbound<'_>,
+) -> Sent {
     let mut request = request_of(front, passed, outbound);
     let settings = LineSettings::default();
     let (mut line, answer) = loop {
@@ -119,7 +125,10 @@
             Some(line) => line,
             None => match Line::open(place.address, &settings).await {
                 Ok(line) => line,
-                Err(error) => return Sent::Unsent(format!("no connection: {error}")),
+                Err(error) => {
+                    note_dark(front, place, &error.to_string());
+                    return Sent::Unsent(format!("no connection: {error}"));
+                }
             },
         };
         let (key, trial) = (place.key, place.trial);
--- a/crates/serve/src/split.rs
+++ b/crates/serve/src/split.rs
@@ -19,6 +19,7 @@
 use crate::front::Front;
 use crate::line::ask_once;
 use crate::node::Search;
+use crate::reach::lost;
 use crate::relay::relay;
 use crate::send::{Reply, Sent, Speaker, note_standing};
 use crate::ticket::Ticket;
@@ -30,10 +31,20 @@
 /// up for another engine.
 const PATIENCE_FACTOR: f64 = 3.0;
 
+/// Share of the time left that an attempt gets while another one may follow, so that this one can
+/// still be in time.
+const PATIENCE_SHARE: f64 = 0.5;
+
 /// Times the objective that reading a prompt may take at least before it is given up: the answer is
 /// late by then, and an engine that is merely busy has mostly read it.
 const READ_PATIENCE: f64 = 2.0;
 
+/// Times the expected time that an engine may be silent before it is tried whether it can be reached.
+const QUIET_FACTOR: f64 = 1.5;
+
+/// Shortest such time.
+const MIN_QUIET: Duration = Duration::from_millis(250);
+
 /// Time after which a request comes back whose prompt was not read.
 const BACK: Duration = Duration::from_millis(500);
 
@@ -122,6 +133,15 @@
     }
 }
 
+/// Time without a word after which an engine may be out of reach.
+fn quiet(ticket: &Ticket) -> Duration {
+    ticket.place.expected.mul_f64(QUIET_FACTOR).max(MIN_QUIET)
+}
+
+fn out_of_reach() -> Sent {
+    Sent::Unknown("the endpoint cannot be reached".to_owned())
+}
+
 /// Sends the request to an engine that generates and waits for the head of the answer.
 async fn attempt(
     call: &mut Call,
@@ -133,10 +153,18 @@
         None => Phase::Whole,
     };
     let patience = ticket.place.expected.mul_f64(PATIENCE_FACTOR).max(call.route.objective);
+    let patience = patience.min(call.left().mul_f64(PATIENCE_SHARE));
     let until = call.limit;
     let again = call.route.kind.may_repeat() && call.runs + 1 < call.route.attempts;
     let first = if again { (Instant::now() + patience).min(until) } else { until };
-    match timeout_at(first, call.send(ticket, phase, None)).await {
+    let (front, quiet) = (call.front.clone(), quiet(ticket));
+    let sent = async {
+        tokio::select! {
+            sent = call.send(ticket, phase, None) => sent,
+            () = lost(&front, &ticket.place, quiet), if again => out_of_reach(),
+        }
+    };
+    match timeout_at(first, sent).await {
         Ok(sent) => Ok(sent),
         Err(_) if first < until => Ok(Sent::Unknown("no answer in time".to_owned())),
         Err(_) => {
@@ -153,13 +181,21 @@
 async fn read_prompt(call: &mut Call, ticket: &mut Ticket) -> Result<Option<Handle>, Failure> {
     let patience = ticket.place.expected.mul_f64(PATIENCE_FACTOR);
     let patience = patience.max(call.route.objective.mul_f64(READ_PATIENCE));
+    let patience = patience.min(call.left().mul_f64(PATIENCE_SHARE));
     let limit = (Instant::now() + patience).min(call.limit);
+    let (front, quiet) = (call.front.clone(), quiet(ticket));
     let attempt = async {
         match call.send(ticket, Phase::Read, None).await {
             Sent::Answered(reply) => take_handle(call, ticket, *reply).await,
             other => Err(other),
         }
     };
+    let attempt = async {
+        tokio::select! {
+            handle = attempt => handle,
+            () = lost(&front, &ticket.place, quiet) => Err(out_of_reach()),
+        }
+    };
     let (trouble, cause) = match timeout_at(limit, attempt).await {
         Ok(Ok(handle)) => {
             ticket.note_first();
