--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -22,9 +22,10 @@
 /// Endpoints that a request is offered to at most, refusals included.
 const MAX_SENDS: u32 = 3;
 
-/// Share of the objective that a request waits for others if its own work takes longer than the
-/// objective.
-const SLACK_SHARE: f64 = 0.7;
+/// Times the objective that a request may wait for others if its answer cannot begin within the
+/// objective: more would make later ones late as well, less would turn away callers who rather have
+/// a late answer than none.
+const SLACK_SHARE: f64 = 1.1;
 
 /// Part of the time left up to which callers wait before they come back.
 const RETURN_SHARE: u32 = 3;
@@ -46,8 +47,6 @@
     pub service: Arc<Service>,
     /// Version of the configuration that the route is from.
     pub version: u64,
-    /// Whether its caller has probably been refused before.
-    pub returned: bool,
     /// When it arrived.
     pub arrived: Instant,
     /// When its time is over.
@@ -89,6 +88,12 @@
         self.limit.saturating_duration_since(Instant::now())
     }
 
+    /// Time left until the caller leaves because the answer has not begun.
+    fn left_to_begin(&self) -> Duration {
+        let patience = self.route.first_patience().saturating_sub(self.arrived.elapsed());
+        if self.route.kind.is_stream() { patience.min(self.left()) } else { self.left() }
+    }
+
     /// Chooses an endpoint and counts the attempt there.
     ///
     /// # Errors
@@ -96,8 +101,8 @@
     /// [`Denial`] if there is no place.
     pub fn place(&self, search: Search) -> Result<Ticket, Denial> {
         let mut wanted = self.wanted();
-        // An answer to a caller who comes back is late already, and still worth something.
-        if matches!(search, Search::Run { .. }) && self.sends == 0 && !self.returned {
+        if matches!(search, Search::Run { .. }) && self.sends == 0 {
+            wanted.limit = self.left_to_begin();
             wanted.aim = wanted.limit.min(self.route.objective);
             wanted.slack = self.route.objective.mul_f64(SLACK_SHARE);
         }
@@ -122,7 +127,7 @@
             "cause" => format!("{:?}", denial.cause), "version" => self.version,
             "back_ms" => denial.back.as_millis() as u64,
             "aim_ms" => self.route.objective.as_millis() as u64,
-            "left_ms" => self.left().as_millis() as u64, "sends" => self.sends, "returned" => self.returned);
+            "left_ms" => self.left().as_millis() as u64, "sends" => self.sends);
     }
 
     fn log_place(&self, search: Search, place: &Place) {
--- a/crates/serve/src/configuration.rs
+++ b/crates/serve/src/configuration.rs
@@ -4,6 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Time after which callers leave a stream that pauses or has not begun: the longest of this time, so
+/// many times the objective, and so many of the route's pauses.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+const PATIENCE_OBJECTIVES: u32 = 4;
+const PATIENCE_PAUSES: u32 = 8;
+
 /// What may be repeated of a route's requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
@@ -65,6 +71,12 @@
 }
 
 impl Route {
+    /// Time after which callers leave a stream that has not begun.
+    pub fn first_patience(&self) -> Duration {
+        let bounds = [self.objective * PATIENCE_OBJECTIVES, self.pause * PATIENCE_PAUSES];
+        bounds.into_iter().fold(MIN_PATIENCE, Duration::max)
+    }
+
     /// The target of a request; `draw` is a number from 0 to 1 that is drawn for it.
     pub fn target(&self, draw: f64) -> Option<&Arc<str>> {
         let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -123,9 +123,6 @@
         return Err((Some(route), Failure::Faulty(StatusCode::BAD_REQUEST, "malformed path")));
     };
     let time = facts.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
-    let (name, told) = (route.name.clone(), facts.deadline);
-    let returned =
-        front.hub.ask(move |node, _| told.is_some_and(|told| node.patience.note(&name, told)));
     let call = Call {
         front: front.clone(),
         passed: Passed { id, method: head.method, uri, headers, body },
@@ -133,7 +130,6 @@
         route: route.clone(),
         service,
         version,
-        returned,
         arrived,
         limit: arrived + time,
         tried: Vec::new(),
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -13,7 +13,7 @@
 use agatestair_policy::board::{
     Board, BoardSettings, Choice, Denial, Load, Part, Seat, SeatFacts, Stage, Wanted,
 };
-use agatestair_policy::{EndpointKey, Moment, Patience, RetryBudget, RetrySettings};
+use agatestair_policy::{EndpointKey, Moment, RetryBudget, RetrySettings};
 use stakker::CX;
 
 use crate::allowance::Allowance;
@@ -162,8 +162,6 @@
     configurations: Cursor,
     endpoints: Cursor,
     budgets: HashMap<Arc<str>, RetryBudget>,
-    /// How long callers usually wait.
-    pub patience: Patience,
     reads: VecDeque<Read>,
     /// Whether this instance is about to stop.
     pub leaving: bool,
@@ -196,7 +194,6 @@
             configurations: Cursor::default(),
             endpoints: Cursor::default(),
             budgets: HashMap::new(),
-            patience: Patience::default(),
             reads: VecDeque::new(),
             leaving: false,
             settings,
