Board: the choice in files of one job each

choose.rs (522 lines) held the types of an attempt, the costs of ways to serve it, the choice among ways and the questions asked. It is now wanted.rs, ways.rs (long prompts beside streams), select.rs (crests) and choose.rs. Behaviour unchanged.

--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -10,16 +10,19 @@
 mod leavers;
 mod load;
 mod seat;
+mod select;
 mod standing;
 mod trust;
+mod wanted;
+mod ways;
 
 pub use cache::CacheModel;
-pub use choose::{Choice, Denial, DenialCause, Part, Wanted};
 pub use cost::{EngineCosts, NOTABLE_TOKENS};
 pub use load::{Load, PEER_LIFETIME, PeerLoads};
 pub use seat::{Seat, SeatFacts, Stage};
 pub use standing::{MAX_PAUSE, Standing};
 pub use trust::{Trouble, Trust, TrustSettings};
+pub use wanted::{Choice, Denial, DenialCause, Part, Wanted};
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
--- a/crates/policy/src/board/cache.rs
+++ b/crates/policy/src/board/cache.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use crate::board::choose::Part;
+use crate::board::wanted::Part;
 use crate::moment::Moment;
 
 /// Share of an engine's memory that parts of earlier prompts are expected to keep; the rest is
