Reach: only errors that tell of the endpoint take it out

Cause, found in reading: any error of a new connection counted, also one of this process such as no descriptor left, which would have taken out one endpoint after the other. Refused, reset, timed out and unreachable count now.

--- a/crates/serve/src/reach.rs
+++ b/crates/serve/src/reach.rs
@@ -3,6 +3,7 @@
 //! A machine without power or behind a cut answers nothing, and its connections hang until the
 //! kernel gives them up. A new connection tells within a fraction of a second.
 
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,19 +35,31 @@
         }
         match Line::open(place.address, &LineSettings::default()).await {
             Ok(line) => front.pool.put(key, line),
-            Err(error) => return note_dark(front, place, &error.to_string()),
+            Err(error) if is_out_of_reach(&error) => return note_dark(front, place, &error),
+            Err(_) => {}
         }
     }
 }
 
-/// Takes an endpoint out until a connection succeeds.
-pub fn note_dark(front: &Rc<Front>, place: &Place, cause: &str) {
+/// Whether a failed connection says something of the other end, not of this process.
+fn is_out_of_reach(error: &io::Error) -> bool {
+    use io::ErrorKind::{
+        ConnectionRefused, ConnectionReset, HostUnreachable, NetworkUnreachable, TimedOut,
+    };
+    matches!(
+        error.kind(),
+        ConnectionRefused | ConnectionReset | HostUnreachable | NetworkUnreachable | TimedOut
+    )
+}
+
+/// Takes an endpoint out until a connection succeeds, if a failed one shows that it is out of reach.
+pub fn note_dark(front: &Rc<Front>, place: &Place, error: &io::Error) {
     let key = place.key;
-    if !front.hub.ask(move |node, _| node.board.note_dark(key)) {
+    if !is_out_of_reach(error) || !front.hub.ask(move |node, _| node.board.note_dark(key)) {
         return;
     }
     metrics::counter!("agatestair_serve_dark_total").increment(1);
-    log_event!(front.log, ENDPOINT_DARK, "endpoint" => &*place.name, "cause" => cause);
+    log_event!(front.log, ENDPOINT_DARK, "endpoint" => &*place.name, "cause" => error.to_string());
     let (front, place) = (front.clone(), place.clone());
     tokio::task::spawn_local(async move { watch(&front, key, place.address).await });
 }
--- a/crates/serve/src/send.rs
+++ b/crates/serve/src/send.rs
@@ -126,7 +126,7 @@
             None => match Line::open(place.address, &settings).await {
                 Ok(line) => line,
                 Err(error) => {
-                    note_dark(front, place, &error.to_string());
+                    note_dark(front, place, &error);
                     return Sent::Unsent(format!("no connection: {error}"));
                 }
             },
