Large runs are not copied

Ruled out: the wait of 1.1 objectives (0.7 on both sides).

Change: no copy that takes more than 5 ms of a link.

--- a/crates/policy/src/board/choose.rs
+++ b/crates/policy/src/board/choose.rs
@@ -31,6 +31,9 @@
 /// each other's choices yet make the same one, in milliseconds.
 const HOME_MS: f64 = 30.0;
 
+/// Longest time of an engine's link that a copy of a run's memory may take, in milliseconds.
+const MAX_COPY_MS: f64 = 5.0;
+
 /// Time after which a caller comes back to a service that has no endpoint.
 const NO_ENDPOINT_RETURN: Duration = Duration::from_secs(1);
 
@@ -128,13 +131,17 @@
 
     /// The engine that should get a copy of a run's memory: the least filled one, near the run's own.
     ///
-    /// Answers the loss of engines: a stream that may not run again goes on from the copy.
+    /// Answers the loss of engines: a stream that may not run again goes on from the copy. A large
+    /// copy would keep prompts that were read for others waiting on the engines' links.
     pub fn choose_backup(
         &self,
         wanted: &Wanted,
         run: EndpointKey,
         now: Moment,
     ) -> Option<EndpointKey> {
+        if f64::from(wanted.prompt) * self.token_transfer_ms > MAX_COPY_MS {
+            return None;
+        }
         let domain = &self.seats.get(run)?.facts.domain;
         let others = self.open(wanted, Some(Stage::Decode), now).filter(|(key, _)| *key != run);
         let filled = |seat: &Seat| (seat.facts.domain != *domain, seat.load(now).context);
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -201,6 +201,19 @@
     }
 }
 
+#[gtest]
+fn large_runs_are_not_copied() {
+    let mut board = Board::new(BoardSettings::default());
+    board.token_transfer_ms = 0.001;
+    let run = board.upsert(seat("e0", Some(Stage::Decode)));
+    board.upsert(seat("e1", Some(Stage::Decode)));
+    for (prompt, copied) in [(800, true), (4_000, true), (17_000, false)] {
+        let wanted = Wanted { prompt, ..ask() };
+        let chosen = board.choose_backup(&wanted, run, now());
+        expect_that!(chosen.is_some(), eq(copied), "{prompt} tokens");
+    }
+}
+
 #[gtest]
 fn an_endpoint_that_started_again_is_a_new_one() {
     let mut board = Board::new(BoardSettings::default());
