--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -2,6 +2,7 @@
 
 mod arrivals;
 mod fleet;
+mod support;
 
 use agatestair_policy::board::{
     Board, BoardSettings, CacheModel, DenialCause, Load, Part, SeatFacts, Stage, Telling, Trouble,
@@ -13,6 +14,7 @@
 use std::time::Duration;
 
 use self::fleet::{Kind, Way, play};
+use self::support::{ask, seat};
 
 const LONG: Kind = Kind {
     rate: 14.0,
@@ -93,31 +95,6 @@
     }
 }
 
-fn seat(name: &str, stage: Option<Stage>) -> SeatFacts {
-    SeatFacts {
-        name: name.into(),
-        service: "s".into(),
-        address: ([127, 0, 0, 1], 80).into(),
-        domain: "a".into(),
-        slots: 4,
-        leaving: false,
-        stage,
-        born: 1,
-    }
-}
-
-fn ask() -> Wanted {
-    Wanted {
-        service: "s".into(),
-        domain: "a".into(),
-        limit: Duration::from_secs(5),
-        aim: Duration::from_millis(300),
-        pause: Duration::from_millis(150),
-        share: 100,
-        ..Wanted::default()
-    }
-}
-
 fn now() -> Moment {
     Moment(10_000_000)
 }
--- a/crates/policy/tests/standing.rs
+++ b/crates/policy/tests/standing.rs
@@ -1,42 +1,18 @@
 //! What endpoints have said of further work, and what becomes of requests then.
 
+mod support;
+
 use std::time::Duration;
 
 use agatestair_policy::Moment;
-use agatestair_policy::board::{
-    Board, BoardSettings, DenialCause, MAX_PAUSE, SeatFacts, Stage, Wanted,
-};
+use agatestair_policy::board::{Board, BoardSettings, DenialCause, MAX_PAUSE, SeatFacts, Stage};
 use googletest::prelude::*;
 
+use self::support::{ask, seat};
+
 /// Time between two requests.
 const GAP: Duration = Duration::from_millis(10);
 
-fn seat(name: &str, stage: Option<Stage>) -> SeatFacts {
-    SeatFacts {
-        name: name.into(),
-        service: "s".into(),
-        address: ([127, 0, 0, 1], 80).into(),
-        domain: "a".into(),
-        slots: 4,
-        leaving: false,
-        stage,
-        born: 1,
-    }
-}
-
-fn ask() -> Wanted {
-    Wanted {
-        service: "s".into(),
-        domain: "a".into(),
-        limit: Duration::from_secs(5),
-        aim: Duration::from_millis(300),
-        pause: Duration::from_millis(150),
-        share: 100,
-        prompt: 200,
-        ..Wanted::default()
-    }
-}
-
 /// Endpoints that turn requests away and say for how long, under a request every 10 ms.
 struct Case {
     name: &'static str,
