--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -193,6 +193,7 @@
         return None;
     }
     let phase = Phase::Generate { source: backup.address, handle: &run };
+    // Why it failed is logged there.
     begin_again(call, Search::Copy(backup.key), phase, events).await.ok()
 }
 
