--- a/crates/policy/src/board/candidates.rs
+++ b/crates/policy/src/board/candidates.rs
@@ -75,8 +75,11 @@
         let held = prefill * f64::from(endpoint.load(now).attempts.min(endpoint.facts.slots));
         let interference = held + stalled;
         let cost = first + interference + contention + self.failure_ms(endpoint, now);
-        let choice = choice(key, load, first, costs.intake_ms + work, false);
-        let choice = Choice { fetch: fetched.map(|fetched| fetched.source), ..choice };
+        let choice = Choice {
+            duration: millis(first + generation_ms(request, step * pace)),
+            fetch: fetched.map(|fetched| fetched.source),
+            ..choice(key, load, first, costs.intake_ms + work, false)
+        };
         Candidate { choice, wait: millis(wait * pace), interference, cost }
     }
 
@@ -135,8 +138,12 @@
         let load = Load { attempts: 1, unread, context: request.prompt, output: 0 };
         let cost = costs.intake_ms + work * pace + prefill + decode.cost + SPLIT_MS;
         let cost = cost + self.failure_ms(endpoint, now);
-        let choice = choice(key, load, first, costs.intake_ms + work, true);
-        let choice = Choice { fetch: fetched.map(|fetched| fetched.source), ..choice };
+        let generation = decode.choice.duration.saturating_sub(decode.choice.expected);
+        let choice = Choice {
+            duration: millis(first) + generation,
+            fetch: fetched.map(|fetched| fetched.source),
+            ..choice(key, load, first, costs.intake_ms + work, true)
+        };
         Candidate { choice, wait: millis(backlog * pace) + decode.wait, interference: 0.0, cost }
     }
 
@@ -161,7 +168,10 @@
             + self.contention_ms(endpoint, step, now)
             + stalled
             + self.failure_ms(endpoint, now);
-        let choice = choice(key, load, first, transfer + wait + step, false);
+        let choice = Choice {
+            duration: millis(first + generation_ms(request, step * pace)),
+            ..choice(key, load, first, transfer + wait + step, false)
+        };
         Candidate { choice, wait: millis(wait * pace), interference: 0.0, cost }
     }
 
@@ -232,12 +242,18 @@
     }
 }
 
+/// Milliseconds to generate the greatest number of output tokens in steps of `step` milliseconds.
+fn generation_ms(request: &PlacementRequest, step: f64) -> f64 {
+    f64::from(request.max_output) * step
+}
+
 fn choice(key: EndpointKey, load: Load, first: f64, nominal: f64, prefill_only: bool) -> Choice {
     Choice {
         key,
         load,
         expected: millis(first),
         nominal: millis(nominal),
+        duration: millis(first),
         prefill_only,
         fetch: None,
     }
--- a/crates/policy/src/board/choose.rs
+++ b/crates/policy/src/board/choose.rs
@@ -55,7 +55,15 @@
             let load = Load { attempts: 1, ..Load::default() };
             let expected = nominal.mul_f64(pace);
             let cost = waiting * pace - near + endpoint.health.rate(now) * FAILURE_LOAD;
-            let choice = Choice { key, load, expected, nominal, prefill_only: false, fetch: None };
+            let choice = Choice {
+                key,
+                load,
+                expected,
+                nominal,
+                duration: expected,
+                prefill_only: false,
+                fetch: None,
+            };
             Candidate { choice, wait: Duration::ZERO, interference: 0.0, cost }
         });
         let candidate = pick(&candidates.collect::<Vec<_>>(), 0.0, request.draw);
--- a/crates/policy/src/board/request.rs
+++ b/crates/policy/src/board/request.rs
@@ -26,8 +26,10 @@
     pub parts: Vec<PromptPart>,
     /// Number of tokens of the whole prompt.
     pub prompt: u32,
-    /// Greatest number of output tokens.
+    /// Expected number of output tokens.
     pub output: u32,
+    /// Greatest number of output tokens.
+    pub max_output: u32,
     /// Time within which the response must start; an attempt that would start later is refused.
     pub limit: Duration,
     /// Time within which the response should start.
@@ -59,6 +61,8 @@
     pub expected: Duration,
     /// Expected time to the first event at the usual pace.
     pub nominal: Duration,
+    /// Expected time to the end of the run if it generates the greatest number of output tokens.
+    pub duration: Duration,
     /// Whether the endpoint only processes the prompt (prefill).
     pub prefill_only: bool,
     /// Engine from which the endpoint should fetch cached parts of the prompt.
--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 
 use crate::buffer_limit::BufferGuard;
+use crate::open_requests::RequestGuard;
 
 /// Chunks that are queued for a caller that reads slowly; a full queue stops reading from the
 /// endpoint.
@@ -39,7 +40,14 @@
 
 /// Body of a response.
 #[derive(Debug)]
-pub enum ResponseBody {
+pub struct ResponseBody {
+    content: Content,
+    /// The request, which stays open until the body is sent or dropped.
+    request: Option<RequestGuard>,
+}
+
+#[derive(Debug)]
+enum Content {
     /// A body that is completely in memory.
     Whole {
         /// Bytes of the body.
@@ -54,12 +62,26 @@
 impl ResponseBody {
     /// Creates a body from bytes in memory.
     pub fn whole(bytes: Bytes) -> Self {
-        Self::Whole { body: Full::new(bytes), _buffer: None }
+        Self::new(Content::Whole { body: Full::new(bytes), _buffer: None })
     }
 
     /// Creates a body from an endpoint's buffered response, which counts towards the memory limit.
     pub fn buffered(bytes: Bytes, buffer: BufferGuard) -> Self {
-        Self::Whole { body: Full::new(bytes), _buffer: Some(buffer) }
+        Self::new(Content::Whole { body: Full::new(bytes), _buffer: Some(buffer) })
+    }
+
+    /// Creates a body from chunks as they arrive.
+    pub fn chunks(chunks: mpsc::Receiver<Chunk>) -> Self {
+        Self::new(Content::Chunks(chunks))
+    }
+
+    fn new(content: Content) -> Self {
+        Self { content, request: None }
+    }
+
+    /// Keeps the request open as long as the body.
+    pub fn hold(&mut self, request: RequestGuard) {
+        self.request = Some(request);
     }
 }
 
@@ -71,12 +93,12 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedBody>>> {
-        match self.get_mut() {
-            Self::Whole { body, .. } => {
+        match &mut self.get_mut().content {
+            Content::Whole { body, .. } => {
                 let frame = ready!(Pin::new(body).poll_frame(cx));
                 Poll::Ready(frame.map(|frame| frame.map_err(|never: Infallible| match never {})))
             }
-            Self::Chunks(chunks) => Poll::Ready(match ready!(chunks.poll_recv(cx)) {
+            Content::Chunks(chunks) => Poll::Ready(match ready!(chunks.poll_recv(cx)) {
                 Some(Chunk::Data(bytes)) => Some(Ok(Frame::data(bytes))),
                 Some(Chunk::End) => None,
                 None => Some(Err(TruncatedBody)),
@@ -85,16 +107,16 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Whole { body, .. } => body.is_end_stream(),
-            Self::Chunks(_) => false,
+        match &self.content {
+            Content::Whole { body, .. } => body.is_end_stream(),
+            Content::Chunks(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole { body, .. } => body.size_hint(),
-            Self::Chunks(_) => SizeHint::default(),
+        match &self.content {
+            Content::Whole { body, .. } => body.size_hint(),
+            Content::Chunks(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -121,6 +121,9 @@
 /// An attempt was placed, but not sent, since its endpoint accepts no request now.
 pub const ATTEMPT_WITHHELD: Event =
     Event { number: 5044, level: Level::Info, text: "attempt withheld" };
+/// The process exits although a request has no complete answer yet.
+pub const REQUEST_CUT: Event =
+    Event { number: 5045, level: Level::Warning, text: "request cut by shutdown" };
 /// All events of this crate.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -164,4 +167,5 @@
     ENDPOINT_REACHABLE,
     ENDPOINT_LIMITED,
     ATTEMPT_WITHHELD,
+    REQUEST_CUT,
 ];
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -18,6 +18,7 @@
 use crate::configuration::{Limits, Route, RouteMatch};
 use crate::events::{ABANDONED, ANSWERED, ATTEMPT_FAILED};
 use crate::generate::generate;
+use crate::open_requests::OpenRequest;
 use crate::plain::relay_plain;
 use crate::response::{DEFAULT_RETRY_AFTER, Failure, strip_hop_by_hop};
 use crate::send::ForwardedRequest;
@@ -58,10 +59,11 @@
 /// Handles a caller's request and logs the response.
 pub async fn handle(shared: Rc<Shared>, request: Request<Incoming>) -> Response<ResponseBody> {
     let arrived = Instant::now();
-    let _count_guard = CountGuard::new(shared.clone(), |shared| &shared.open, 1);
     let facts = (shared.wire.read_call)(request.headers());
     let id: Option<Rc<str>> =
         facts.as_ref().ok().and_then(|facts| facts.id.as_deref()).map(Rc::from);
+    let guard = shared.open.insert(OpenRequest { id: id.clone(), arrived });
+    shared.shutdown.note_taken(arrived);
     let mut abandon_log = AbandonLog { shared: &shared, id: id.clone(), arrived, responded: false };
     let outcome = match facts {
         Ok(facts) => serve(&shared, request, facts, id.clone(), arrived).await,
@@ -72,7 +74,7 @@
         }
     };
     abandon_log.responded = true;
-    let (route, response, cause) = match outcome {
+    let (route, mut response, cause) = match outcome {
         Ok((route, response)) => (Some(route), response, None),
         Err((route, failure)) => (route, failure.response(), Some(failure.cause().to_owned())),
     };
@@ -84,6 +86,7 @@
     log_event!(shared.log, ANSWERED, "request" => id.as_deref(),
         "route" => route.as_ref().map(|route| route.name.to_string()), "status" => status,
         "ms" => ms.as_millis() as u64, "cause" => cause);
+    response.body_mut().hold(guard);
     response
 }
 
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -88,6 +88,8 @@
     pub expected: Duration,
     /// The same at the endpoint's usual pace.
     pub nominal: Duration,
+    /// Expected time to the end of the run.
+    pub duration: Duration,
     /// Whether the endpoint only prefills the prompt.
     pub prefill_only: bool,
     /// Address of the engine from which the endpoint should fetch the KV cache of prompt parts.
@@ -433,6 +435,7 @@
             load: choice.load,
             expected: choice.expected,
             nominal: choice.nominal,
+            duration: choice.duration,
             prefill_only: choice.prefill_only,
             fetch: choice
                 .fetch
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -67,7 +67,7 @@
 pub fn relay(call: Call, guard: AttemptGuard, response: EndpointResponse) -> ResponseBody {
     let (chunks, body) = mpsc::channel(QUEUED_CHUNKS);
     tokio::task::spawn_local(relay_stream(call, Run::new(guard, response), chunks));
-    ResponseBody::Chunks(body)
+    ResponseBody::chunks(body)
 }
 
 async fn relay_stream(mut call: Call, mut run: Run, chunks: mpsc::Sender<Chunk>) {
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -5,7 +5,6 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use agatestair_policy::board::BoardSettings;
@@ -18,39 +17,29 @@
 use tokio::runtime::Runtime;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::buffer_limit::BufferLimit;
 use crate::bulletins::send_bulletins;
 use crate::cache_query::query_caches;
 use crate::digests::send_digests;
-use crate::directory::lifetime;
-use crate::events::{
-    MEMBER_CHANGED, ROW_MALFORMED, ROW_WRITE_FAILED, STARTED, STOPPED, STOPPING, TASK_FAILED,
-};
+use crate::events::{MEMBER_CHANGED, ROW_MALFORMED, ROW_WRITE_FAILED, STARTED, TASK_FAILED};
 use crate::hub::Hub;
 use crate::listen::listen;
 use crate::members::Member;
 use crate::node::NodeSettings;
+use crate::open_requests::OpenRequests;
 use crate::outbox::{LoadChanges, Outbox};
 use crate::pool::Pool;
 use crate::pulse::{receive_datagrams, send_hello, send_pulses};
 use crate::reload::{Reload, retry_settings, watch_settings};
 use crate::shared::{Listener, Shared, TableWakeups, accept};
+use crate::shutdown::{Shutdown, shut_down};
 use crate::store::{StoreClient, StoreError, Table, Transaction};
 use crate::watch::follow;
 use crate::wire::WireFormat;
 
-/// Number of lifetimes of a directory response for which some callers keep using it.
-const DIRECTORY_LIFETIMES: u32 = 3;
-
-/// Time reserved at the end of the grace period for the process to exit by itself.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
-
-/// Time between two checks for open requests during shutdown.
-const DRAIN_CHECK: Duration = Duration::from_millis(20);
-
 /// Time between two sweeps of pooled connections.
 const SWEEP: Duration = Duration::from_millis(250);
 
@@ -195,7 +184,8 @@
         wakeups: TableWakeups::default(),
         leaving: CancellationToken::new(),
         closing: CancellationToken::new(),
-        open: Cell::new(0),
+        open: OpenRequests::default(),
+        shutdown: Shutdown::default(),
         connections: Cell::new(0),
         body_bytes: Cell::new(0),
     });
@@ -344,7 +334,7 @@
     loop {
         sleep(SWEEP).await;
         shared.pool.sweep();
-        metrics::gauge!("agatestair_serve_open").set(shared.open.get() as f64);
+        metrics::gauge!("agatestair_serve_open").set(shared.open.len() as f64);
     }
 }
 
@@ -354,39 +344,3 @@
         buffer.flush();
     }
 }
-
-/// Withdraws the instance from directory responses, keeps serving until callers have moved on, and
-/// drains open requests within the grace period.
-async fn shut_down(shared: &Rc<Shared>, own: &Member) {
-    let begun = Instant::now();
-    let grace = Duration::from_secs_f64(shared.settings().bounds.grace_s);
-    let deadline = begun + grace.saturating_sub(EXIT_MARGIN);
-    shared.hub.ask(|node, _| node.leaving = true);
-    shared.leaving.cancel();
-    log_event!(shared.log, STOPPING, "open" => shared.open.get());
-    remove_row(shared, own);
-    let settled = (begun + lifetime(shared) * DIRECTORY_LIFETIMES).min(deadline);
-    tokio::time::sleep_until(settled).await;
-    shared.closing.cancel();
-    while shared.open_work() > 0 && Instant::now() < deadline {
-        sleep(DRAIN_CHECK).await;
-    }
-    log_event!(shared.log, STOPPED, "open" => shared.open_work(),
-        "ms" => begun.elapsed().as_millis() as u64);
-}
-
-fn remove_row(shared: &Rc<Shared>, own: &Member) {
-    let (shared, name): (Rc<Shared>, Arc<str>) = (shared.clone(), own.name.clone());
-    spawn(async move {
-        let transaction = Transaction {
-            table: Table::Instances,
-            expected: Vec::new(),
-            writes: Vec::new(),
-            removals: vec![name],
-        };
-        if let Err(error) = (shared.store.commit)(transaction).await {
-            // Other instances remove a silent instance by themselves.
-            log_event!(shared.log, ROW_WRITE_FAILED, "error" => error.to_string());
-        }
-    });
-}
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -26,8 +26,10 @@
 use crate::events::{ACCEPT_FAILED, CONNECTION_FAILED};
 use crate::hub::Hub;
 use crate::listen::configure;
+use crate::open_requests::OpenRequests;
 use crate::outbox::{LoadChanges, Outbox};
 use crate::pool::Pool;
+use crate::shutdown::Shutdown;
 use crate::store::{StoreClient, Table};
 use crate::wire::WireFormat;
 
@@ -72,8 +74,10 @@
     pub leaving: CancellationToken,
     /// Cancelled to close callers' connections once they are idle.
     pub closing: CancellationToken,
-    /// Number of requests in flight.
-    pub open: Cell<usize>,
+    /// Requests in flight.
+    pub open: OpenRequests,
+    /// Progress of the shutdown.
+    pub shutdown: Shutdown,
     /// Number of open callers' connections.
     pub connections: Cell<usize>,
     /// Bytes of request bodies in memory.
@@ -113,7 +117,7 @@
 
     /// Number of requests in flight plus callers' open connections.
     pub fn open_work(&self) -> usize {
-        self.open.get() + self.connections.get()
+        self.open.len() + self.connections.get()
     }
 }
 
--- /dev/null
+++ b/crates/serve/src/shutdown.rs
@@ -0,0 +1,112 @@
+//! Shutdown of an instance within its grace period.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatestair_runtime::log_event;
+use tokio::time::{Instant, sleep};
+
+use crate::directory::lifetime;
+use crate::events::{REQUEST_CUT, ROW_WRITE_FAILED, STOPPED, STOPPING};
+use crate::members::Member;
+use crate::shared::Shared;
+use crate::store::{Table, Transaction};
+
+/// Number of lifetimes of a directory response for which some callers keep using it.
+const DIRECTORY_LIFETIMES: u32 = 3;
+
+/// Time reserved at the end of the grace period for the process to exit by itself.
+const EXIT_MARGIN: Duration = Duration::from_millis(400);
+
+/// Time between two checks for open requests during shutdown.
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+
+/// Largest number of seconds of a shutdown that are counted apart; later ones add to the last.
+const MAX_SECONDS: usize = 64;
+
+/// Progress of an instance's shutdown.
+#[derive(Debug, Default)]
+pub struct Shutdown {
+    period: Cell<Option<GracePeriod>>,
+    /// Requests that arrived, by second of the shutdown.
+    taken: RefCell<Vec<u32>>,
+}
+
+/// The time in which an instance finishes its work.
+#[derive(Clone, Copy, Debug)]
+struct GracePeriod {
+    begun: Instant,
+    /// When the process exits, whether or not requests are open.
+    end: Instant,
+}
+
+impl Shutdown {
+    /// Time until the process exits; `None` if the instance is not shutting down.
+    pub fn left(&self) -> Option<Duration> {
+        self.period.get().map(|period| period.end.saturating_duration_since(Instant::now()))
+    }
+
+    /// Counts a request that arrived while the instance is shutting down.
+    pub fn note_taken(&self, arrived: Instant) {
+        let Some(period) = self.period.get() else { return };
+        let second = arrived.saturating_duration_since(period.begun).as_secs() as usize;
+        let mut taken = self.taken.borrow_mut();
+        let second = second.min(MAX_SECONDS - 1);
+        if taken.len() <= second {
+            taken.resize(second + 1, 0);
+        }
+        taken[second] += 1;
+    }
+
+    /// Requests that arrived in each second of the shutdown, separated by commas.
+    fn taken(&self) -> String {
+        let taken: Vec<String> = self.taken.borrow().iter().map(u32::to_string).collect();
+        taken.join(",")
+    }
+}
+
+/// Withdraws the instance from directory responses, keeps serving until callers have moved on, and
+/// drains open requests within the grace period.
+pub async fn shut_down(shared: &Rc<Shared>, own: &Member) {
+    let begun = Instant::now();
+    let grace = Duration::from_secs_f64(shared.settings().bounds.grace_s);
+    let deadline = begun + grace.saturating_sub(EXIT_MARGIN);
+    shared.shutdown.period.set(Some(GracePeriod { begun, end: deadline }));
+    shared.hub.ask(|node, _| node.leaving = true);
+    shared.leaving.cancel();
+    log_event!(shared.log, STOPPING, "open" => shared.open.len(),
+        "grace_ms" => grace.as_millis() as u64);
+    remove_row(shared, own);
+    let settled = (begun + lifetime(shared) * DIRECTORY_LIFETIMES).min(deadline);
+    tokio::time::sleep_until(settled).await;
+    shared.closing.cancel();
+    while shared.open_work() > 0 && Instant::now() < deadline {
+        sleep(DRAIN_CHECK).await;
+    }
+    let cut = shared.open.list();
+    for request in &cut {
+        log_event!(shared.log, REQUEST_CUT, "request" => request.id.as_deref(),
+            "ms" => request.arrived.elapsed().as_millis() as u64,
+            "after_ms" => request.arrived.saturating_duration_since(begun).as_millis() as u64);
+    }
+    log_event!(shared.log, STOPPED, "open" => shared.open_work(), "cut" => cut.len(),
+        "taken" => shared.shutdown.taken(), "ms" => begun.elapsed().as_millis() as u64);
+}
+
+fn remove_row(shared: &Rc<Shared>, own: &Member) {
+    let (shared, name): (Rc<Shared>, Arc<str>) = (shared.clone(), own.name.clone());
+    tokio::task::spawn_local(async move {
+        let transaction = Transaction {
+            table: Table::Instances,
+            expected: Vec::new(),
+            writes: Vec::new(),
+            removals: vec![name],
+        };
+        if let Err(error) = (shared.store.commit)(transaction).await {
+            // Other instances remove a silent instance by themselves.
+            log_event!(shared.log, ROW_WRITE_FAILED, "error" => error.to_string());
+        }
+    });
+}
