A stopping instance takes only what ends before it exits

Cause: an instance takes requests for as long as callers may keep its address, 6 s of the 7.6 s until it exits, and on connections accepted after that; nothing compares a request's duration with the time left. The class: work is taken without the time for it.

Change: every placement passes one check against the end of the shutdown (node/stopping.rs). The bound on a duration comes from the model and from the route's recent requests (policy::Durations). What may not end is refused at once, "not run", with Connection: close. Callers' listener closes with their connections. A request without a head at the end gets 503 or 502 in place of a closed connection. The last instance goes on accepting until the end.

--- a/crates/policy/src/board/request.rs
+++ b/crates/policy/src/board/request.rs
@@ -18,6 +18,8 @@
 /// Requirements of an attempt that is to be placed.
 #[derive(Clone, Debug, Default)]
 pub struct PlacementRequest {
+    /// Route that the request matched.
+    pub route: Arc<str>,
     /// Requested service.
     pub service: Arc<str>,
     /// Failure domain of the instance that places it.
@@ -30,6 +32,8 @@
     pub output: u32,
     /// Greatest number of output tokens.
     pub max_output: u32,
+    /// Time until the request times out.
+    pub left: Duration,
     /// Time within which the response must start; an attempt that would start later is refused.
     pub limit: Duration,
     /// Time within which the response should start.
@@ -80,6 +84,8 @@
     Paused,
     /// The endpoints' rate limits allow no request now.
     Limited,
+    /// The instance is shutting down, and the work may not end before it exits.
+    Stopping,
 }
 
 /// An attempt cannot be placed now.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 mod budget;
 mod cache_map;
 mod demand;
+mod durations;
 mod fleet;
 mod keys;
 mod mix;
@@ -29,6 +30,7 @@
 
 pub use action::{Action, AttemptEnd, Purpose, Refusal, RefusalCode};
 pub use budget::Budget;
+pub use durations::Durations;
 pub use keys::{AttemptKey, EndpointKey, RequestKey};
 pub use moment::Moment;
 pub use request::{Call, Completion, RequestFacts, Work};
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -1,5 +1,6 @@
 //! State of one request in flight: placement, attempts so far, and retry decisions.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,6 +62,10 @@
     pub not_sent: u32,
     /// Engine that replicates the KV cache of the current run.
     pub backup: Option<Backup>,
+    /// When the first attempt was placed, and how long it was expected to take.
+    pub begun: Option<(Instant, Duration)>,
+    /// Whether an endpoint may have executed the request.
+    pub passed_on: Rc<Cell<bool>>,
 }
 
 impl Call {
@@ -70,12 +75,14 @@
         let output =
             self.facts.expected.map_or(prompt.output, |expected| expected.min(prompt.output));
         PlacementRequest {
+            route: self.route.name.clone(),
             service: self.service.name.clone(),
             parts: prompt.parts,
             prompt: prompt.input,
             max_gap: self.route.max_gap,
             output,
             max_output: prompt.output,
+            left: self.remaining(),
             limit: self.remaining(),
             objective: self.remaining(),
             max_wait: self.remaining(),
@@ -103,7 +110,7 @@
     /// # Errors
     ///
     /// Returns a [`Denial`] if no endpoint can take the attempt.
-    pub fn place(&self, search: Search) -> Result<AttemptGuard, Denial> {
+    pub fn place(&mut self, search: Search) -> Result<AttemptGuard, Denial> {
         let mut request = self.placement_request();
         if matches!(search, Search::Run { .. }) && self.sends == 0 {
             request.limit = self.first_event_limit();
@@ -116,6 +123,7 @@
         match placement {
             Ok(placement) => {
                 self.log_placement(search, &placement);
+                self.begun.get_or_insert_with(|| (Instant::now(), placement.duration));
                 Ok(AttemptGuard::new(self.shared.clone(), placement))
             }
             Err(denial) => {
@@ -172,6 +180,9 @@
             backup: self.backup.map(|backup| backup.address),
             resume,
         };
+        if !matches!(phase, Phase::Prefill) {
+            self.passed_on.set(true);
+        }
         let sent = send(&self.shared, &guard.placement, &self.forwarded, &outbound).await;
         if !matches!(sent, SendOutcome::NotSent(_) | SendOutcome::Withheld(_)) {
             self.sends += 1;
@@ -191,6 +202,13 @@
         self.shared.hub.ask(move |node, now| node.place_backup(&request, key, connections, now))
     }
 
+    /// Records the duration of a request that was answered completely or has timed out.
+    pub fn note_duration(&self) {
+        let Some((begun, expected)) = self.begun else { return };
+        let (route, real) = (self.route.name.clone(), begun.elapsed());
+        self.shared.hub.ask(move |node, now| node.note_duration(&route, expected, real, now));
+    }
+
     /// Whether the route's kind and its maximum number of attempts allow another run.
     pub fn may_repeat(&self) -> bool {
         self.route.kind.may_repeat() && self.runs < self.route.attempts
@@ -247,6 +265,10 @@
         let cause = match denial.cause {
             DenialCause::NoEndpoint => "no endpoint takes work",
             DenialCause::TooLate => "no endpoint can answer in time",
+            DenialCause::Stopping => {
+                let (retry_after, cause) = (denial.retry_after, "the instance is shutting down");
+                return Failure::NotRun { retry_after, cause };
+            }
             DenialCause::Paused => {
                 let cause = "all endpoints want no work for a while";
                 return not_run_within(denial.retry_after, self.remaining() / RETRY_DIVISOR, cause);
--- a/crates/serve/src/configuration.rs
+++ b/crates/serve/src/configuration.rs
@@ -194,6 +194,11 @@
         Self { version, services, limits, hosts }
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flatten()
+    }
+
     /// The route of a host with the longest prefix that matches the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.rsplit_once(':').map_or(host, |(name, port)| {
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -185,6 +185,7 @@
         Ok(sent) => Ok(sent),
         Err(_) if cutoff < deadline => Ok(SendOutcome::Unknown("no answer in time".to_owned())),
         Err(_) => {
+            call.note_duration();
             call.runs += 1;
             call.note_failed(guard, FailureKind::Broken, "no answer in time");
             Err(Failure::TimedOut)
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -1,5 +1,6 @@
 //! Handles callers' requests: parses, routes and limits them, and produces the response.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -66,7 +67,15 @@
     shared.shutdown.note_taken(arrived);
     let mut abandon_log = AbandonLog { shared: &shared, id: id.clone(), arrived, responded: false };
     let outcome = match facts {
-        Ok(facts) => serve(&shared, request, facts, id.clone(), arrived).await,
+        Ok(facts) => {
+            let passed_on = Rc::new(Cell::new(false));
+            let serving = serve(&shared, request, facts, arrived, passed_on.clone());
+            tokio::select! {
+                biased;
+                outcome = serving => outcome,
+                () = shared.ending.cancelled() => Err((None, interrupted(passed_on.get()))),
+            }
+        }
         Err(error) => {
             log_event!(shared.log, ATTEMPT_FAILED, "request" => id.as_deref(),
                 "error" => error.to_string());
@@ -97,8 +106,8 @@
     shared: &Rc<Shared>,
     request: Request<Incoming>,
     facts: CallFacts,
-    id: Option<Rc<str>>,
     arrived: Instant,
+    passed_on: Rc<Cell<bool>>,
 ) -> Outcome {
     wait_for_startup(shared).await;
     let (head, body) = request.into_parts();
@@ -126,6 +135,7 @@
         return Err((Some(route), Failure::BadRequest(StatusCode::BAD_REQUEST, "malformed path")));
     };
     let timeout = facts.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let id = facts.id.as_deref().map(Rc::from);
     let call = Call {
         shared: shared.clone(),
         forwarded: ForwardedRequest { id, method: head.method, uri, headers, body },
@@ -140,6 +150,8 @@
         runs: 0,
         not_sent: 0,
         backup: None,
+        begun: None,
+        passed_on,
     };
     let (service, matched) = (call.service.name.clone(), route.clone());
     shared.hub.ask(move |node, now| node.note_first(&service, now));
@@ -148,6 +160,16 @@
     response.map(|response| (matched, response)).map_err(|failure| (Some(route), failure))
 }
 
+/// Failure of a request without a response when the process is about to exit.
+fn interrupted(passed_on: bool) -> Failure {
+    let cause = "the instance is shutting down";
+    if passed_on {
+        Failure::MayHaveRun(cause.to_owned())
+    } else {
+        Failure::NotRun { retry_after: Duration::ZERO, cause }
+    }
+}
+
 /// Waits briefly until configuration and endpoints are loaded, unless the store is unavailable.
 ///
 /// After a restart, callers connect before the process has loaded anything.
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -3,11 +3,12 @@
 mod budgets;
 mod gossip;
 mod limits;
+mod stopping;
 
 pub use gossip::PulseChanges;
 pub use limits::LimitChange;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +18,7 @@
     Board, BoardEndpoint, BoardSettings, Choice, Denial, DenialCause, EndpointFacts, Load,
     PlacementRequest, PromptPart, Stage,
 };
-use agatestair_policy::{EndpointKey, Moment, RetryBudget, RetrySettings};
+use agatestair_policy::{Durations, EndpointKey, Moment, RetryBudget, RetrySettings};
 use stakker::CX;
 
 use crate::collection::Collection;
@@ -169,8 +170,10 @@
     /// When this instance starts, or last started, to report the limits in force.
     standing_from: Moment,
     sent_parts: VecDeque<SentPart>,
-    /// Whether this instance is shutting down.
-    pub leaving: bool,
+    /// When the process exits, if this instance is shutting down.
+    stops_at: Option<Moment>,
+    /// Durations of requests, by route.
+    durations: HashMap<Arc<str>, Durations>,
 }
 
 impl Node {
@@ -203,7 +206,8 @@
             sharing: Sharing::default(),
             standing_from: Moment(0),
             sent_parts: VecDeque::new(),
-            leaving: false,
+            stops_at: None,
+            durations: HashMap::new(),
             settings,
         }
     }
@@ -218,6 +222,8 @@
                 self.board.settings.costs.stride = engine.stride;
                 self.board.token_transfer_ms = engine.transfer_ms();
             }
+            let routes: HashSet<&str> = configuration.routes().map(|route| &*route.name).collect();
+            self.durations.retain(|route, _| routes.contains(&**route));
             self.configuration = Some(Arc::new(configuration));
         }
         newer
@@ -240,7 +246,7 @@
 
     /// Whether this instance can serve callers.
     pub fn is_ready(&self) -> bool {
-        !self.leaving && self.is_loaded()
+        !self.is_leaving() && self.is_loaded()
     }
 
     /// Whether configuration and endpoints are not loaded yet although the store is reachable.
@@ -254,7 +260,7 @@
 
     /// Identity and state of this instance, as announced to others.
     pub fn own(&self) -> (Member, MemberState) {
-        let state = MemberState { ready: self.is_ready(), leaving: self.leaving };
+        let state = MemberState { ready: self.is_ready(), leaving: self.is_leaving() };
         (self.settings.own.clone(), state)
     }
 
@@ -341,6 +347,7 @@
                 self.board.note_limited(&request, now);
             }
         })?;
+        self.check_shutdown(&request, choice.duration, now)?;
         if request.prompt >= self.board.settings.costs.min_tracked {
             self.note_prompt(choice.key, &request.parts, now);
         }
--- /dev/null
+++ b/crates/serve/src/node/stopping.rs
@@ -0,0 +1,66 @@
+//! Which work an instance that is shutting down still takes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatestair_policy::Moment;
+use agatestair_policy::board::{Denial, DenialCause, PlacementRequest};
+
+use crate::node::Node;
+use crate::response::DEFAULT_RETRY_AFTER;
+
+/// Time between the probable end of a run and the exit of the process, for the last bytes of its
+/// response.
+const END_MARGIN: Duration = Duration::from_millis(200);
+
+/// Time after which a caller should return if other instances are ready: they can serve it at once.
+const OTHERS_RETRY_AFTER: Duration = Duration::from_millis(10);
+
+impl Node {
+    /// Starts the shutdown; the process exits at `end`, whether or not requests are open.
+    pub fn begin_shutdown(&mut self, end: Moment) {
+        self.stops_at = Some(end);
+    }
+
+    /// Whether this instance is shutting down.
+    pub fn is_leaving(&self) -> bool {
+        self.stops_at.is_some()
+    }
+
+    /// Whether another instance can serve callers.
+    pub fn others_ready(&self, now: Moment) -> bool {
+        let own_domain = &self.settings.own.domain;
+        !self.members.addresses(own_domain, None, now).is_empty()
+    }
+
+    /// Records the real duration of a request of a route, and the one that was expected.
+    pub fn note_duration(
+        &mut self,
+        route: &Arc<str>,
+        expected: Duration,
+        real: Duration,
+        now: Moment,
+    ) {
+        self.durations.entry(route.clone()).or_default().note(expected, real, now);
+    }
+
+    /// Denies an attempt that may not end before the process exits, which is expected to take
+    /// `duration`. On routes without experience a request may last until its deadline.
+    pub(super) fn check_shutdown(
+        &self,
+        request: &PlacementRequest,
+        duration: Duration,
+        now: Moment,
+    ) -> Result<(), Denial> {
+        let Some(end) = self.stops_at else { return Ok(()) };
+        let known = self.durations.get(&request.route);
+        let bound = known.and_then(|known| known.bound(duration, now));
+        let bound = bound.map_or(request.left, |bound| bound.min(request.left));
+        if now + bound + END_MARGIN <= end {
+            return Ok(());
+        }
+        let retry_after =
+            if self.others_ready(now) { OTHERS_RETRY_AFTER } else { DEFAULT_RETRY_AFTER };
+        Err(Denial { cause: DenialCause::Stopping, retry_after })
+    }
+}
--- a/crates/serve/src/plain.rs
+++ b/crates/serve/src/plain.rs
@@ -34,6 +34,7 @@
             }
         };
         let Ok(outcome) = timeout_at(deadline, attempt).await else {
+            call.note_duration();
             call.note_failed(&guard, FailureKind::Broken, "no answer in time");
             return Err(Failure::TimedOut);
         };
@@ -47,6 +48,7 @@
                 last_error = Some(response);
             }
             Ok(response) => {
+                call.note_duration();
                 guard.note_first();
                 return Ok(response);
             }
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -146,6 +146,7 @@
 }
 
 fn log_complete(call: &Call, guard: &AttemptGuard, events: &EventSplitter) {
+    call.note_duration();
     metrics::counter!("agatestair_serve_streams_total", "end" => "complete").increment(1);
     log_event!(call.shared.log, STREAMED, "request" => call.forwarded.id.as_deref(),
         "endpoint" => &*guard.placement.name, "events" => events.events,
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -184,6 +184,7 @@
         wakeups: TableWakeups::default(),
         leaving: CancellationToken::new(),
         closing: CancellationToken::new(),
+        ending: CancellationToken::new(),
         open: OpenRequests::default(),
         shutdown: Shutdown::default(),
         connections: Cell::new(0),
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -72,8 +72,10 @@
     pub wakeups: TableWakeups,
     /// Cancelled when the instance starts to shut down.
     pub leaving: CancellationToken,
-    /// Cancelled to close callers' connections once they are idle.
+    /// Cancelled to close callers' connections once they are idle, and to accept no more.
     pub closing: CancellationToken,
+    /// Cancelled when requests without a response must be answered, since the process exits.
+    pub ending: CancellationToken,
     /// Requests in flight.
     pub open: OpenRequests,
     /// Progress of the shutdown.
@@ -157,8 +159,17 @@
     Metrics,
 }
 
-/// Accepts connections until the process ends.
+/// Accepts connections until the process ends; those of callers until they have moved on to other
+/// instances.
 pub async fn accept(shared: Rc<Shared>, listener: Rc<TcpListener>, kind: Listener) {
+    if kind != Listener::Callers {
+        return accept_all(shared, listener, kind).await;
+    }
+    let closing = shared.closing.clone();
+    closing.run_until_cancelled(accept_all(shared, listener, kind)).await;
+}
+
+async fn accept_all(shared: Rc<Shared>, listener: Rc<TcpListener>, kind: Listener) {
     loop {
         let max_connections = (shared.settings().machine.max_files * CALLER_SHARE) as usize;
         match listener.accept().await {
--- a/crates/serve/src/shutdown.rs
+++ b/crates/serve/src/shutdown.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use agatestair_runtime::log_event;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::directory::lifetime;
 use crate::events::{REQUEST_CUT, ROW_WRITE_FAILED, STOPPED, STOPPING};
@@ -20,30 +20,42 @@
 /// Time reserved at the end of the grace period for the process to exit by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time before the exit at which requests without a response are answered with an error.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+
 /// Time between two checks for open requests during shutdown.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
 /// Largest number of seconds of a shutdown that are counted apart; later ones add to the last.
 const MAX_SECONDS: usize = 64;
 
+/// Waits until there is no open work or the deadline has passed.
+async fn drained(shared: &Shared, deadline: Instant) {
+    while shared.open_work() > 0 && Instant::now() < deadline {
+        sleep(DRAIN_CHECK).await;
+    }
+}
+
 /// Progress of an instance's shutdown.
 #[derive(Debug, Default)]
 pub struct Shutdown {
     period: Cell<Option<GracePeriod>>,
     /// Requests that arrived, by second of the shutdown.
     taken: RefCell<Vec<u32>>,
+    /// When the last of them arrived.
+    last: Cell<Option<Instant>>,
 }
 
 /// The time in which an instance finishes its work.
 #[derive(Clone, Copy, Debug)]
 struct GracePeriod {
     begun: Instant,
-    /// When the process exits, whether or not requests are open.
+    /// When requests without a response are answered with an error.
     end: Instant,
 }
 
 impl Shutdown {
-    /// Time until the process exits; `None` if the instance is not shutting down.
+    /// Time until requests are answered with an error; `None` if the instance is not shutting down.
     pub fn left(&self) -> Option<Duration> {
         self.period.get().map(|period| period.end.saturating_duration_since(Instant::now()))
     }
@@ -58,6 +70,12 @@
             taken.resize(second + 1, 0);
         }
         taken[second] += 1;
+        self.last.set(Some(arrived));
+    }
+
+    /// Whether a request arrived within the given time.
+    fn is_used(&self, within: Duration) -> bool {
+        self.last.get().is_some_and(|last| last.elapsed() < within)
     }
 
     /// Requests that arrived in each second of the shutdown, separated by commas.
@@ -67,24 +85,28 @@
     }
 }
 
-/// Withdraws the instance from directory responses, keeps serving until callers have moved on, and
-/// drains open requests within the grace period.
+/// Withdraws the instance from directory responses, keeps serving what ends in time until callers
+/// have moved on, and drains open requests within the grace period.
 pub async fn shut_down(shared: &Rc<Shared>, own: &Member) {
     let begun = Instant::now();
     let grace = Duration::from_secs_f64(shared.settings().bounds.grace_s);
-    let deadline = begun + grace.saturating_sub(EXIT_MARGIN);
-    shared.shutdown.period.set(Some(GracePeriod { begun, end: deadline }));
-    shared.hub.ask(|node, _| node.leaving = true);
+    let left = grace.saturating_sub(EXIT_MARGIN);
+    let answers = begun + left.saturating_sub(ANSWER_MARGIN);
+    shared.shutdown.period.set(Some(GracePeriod { begun, end: answers }));
+    shared.hub.ask(move |node, now| node.begin_shutdown(now + left.saturating_sub(ANSWER_MARGIN)));
     shared.leaving.cancel();
     log_event!(shared.log, STOPPING, "open" => shared.open.len(),
         "grace_ms" => grace.as_millis() as u64);
     remove_row(shared, own);
-    let settled = (begun + lifetime(shared) * DIRECTORY_LIFETIMES).min(deadline);
-    tokio::time::sleep_until(settled).await;
-    shared.closing.cancel();
-    while shared.open_work() > 0 && Instant::now() < deadline {
+    let lifetime = lifetime(shared);
+    sleep_until((begun + lifetime * DIRECTORY_LIFETIMES).min(answers)).await;
+    while Instant::now() < answers && is_needed(shared, lifetime) {
         sleep(DRAIN_CHECK).await;
     }
+    shared.closing.cancel();
+    drained(shared, answers).await;
+    shared.ending.cancel();
+    drained(shared, begun + left).await;
     let cut = shared.open.list();
     for request in &cut {
         log_event!(shared.log, REQUEST_CUT, "request" => request.id.as_deref(),
@@ -95,6 +117,12 @@
         "taken" => shared.shutdown.taken(), "ms" => begun.elapsed().as_millis() as u64);
 }
 
+/// Whether callers use this instance because no other one is ready.
+fn is_needed(shared: &Shared, lifetime: Duration) -> bool {
+    let used = shared.open_work() > 0 || shared.shutdown.is_used(lifetime);
+    used && !shared.hub.ask(|node, now| node.others_ready(now))
+}
+
 fn remove_row(shared: &Rc<Shared>, own: &Member) {
     let (shared, name): (Rc<Shared>, Arc<str>) = (shared.clone(), own.name.clone());
     tokio::task::spawn_local(async move {
