Bounds on durations hold for rare requests, and accepted work goes on

What callers would see: streams of a route with few requests cut as before, since the bound decayed to the constant that plain services have in place of a model, within seconds; one short answer made a route known. And what was accepted could be refused late: a decode after its prefill (503, the prompt read in vain), a resumed stream or a copy (cut at once), since the whole duration was asked for again.

Change: durations are kept by route and service in windows of 60 s that don't shrink; fewer than three observations give no bound, fewer than 16 the larger of model and twice the longest; plain services have no model. Time already spent counts for decodes, copies and resumed streams. Streams that end at their deadline are observed, too.

--- a/crates/policy/src/board/candidates.rs
+++ b/crates/policy/src/board/candidates.rs
@@ -76,7 +76,7 @@
         let interference = held + stalled;
         let cost = first + interference + contention + self.failure_ms(endpoint, now);
         let choice = Choice {
-            duration: millis(first + generation_ms(request, step * pace)),
+            duration: Some(millis(first + generation_ms(request, step * pace))),
             fetch: fetched.map(|fetched| fetched.source),
             ..choice(key, load, first, costs.intake_ms + work, false)
         };
@@ -138,9 +138,10 @@
         let load = Load { attempts: 1, unread, context: request.prompt, output: 0 };
         let cost = costs.intake_ms + work * pace + prefill + decode.cost + SPLIT_MS;
         let cost = cost + self.failure_ms(endpoint, now);
-        let generation = decode.choice.duration.saturating_sub(decode.choice.expected);
+        let generation =
+            decode.choice.duration.map(|all| all.saturating_sub(decode.choice.expected));
         let choice = Choice {
-            duration: millis(first) + generation,
+            duration: generation.map(|generation| millis(first) + generation),
             fetch: fetched.map(|fetched| fetched.source),
             ..choice(key, load, first, costs.intake_ms + work, true)
         };
@@ -169,7 +170,7 @@
             + stalled
             + self.failure_ms(endpoint, now);
         let choice = Choice {
-            duration: millis(first + generation_ms(request, step * pace)),
+            duration: Some(millis(first + generation_ms(request, step * pace))),
             ..choice(key, load, first, transfer + wait + step, false)
         };
         Candidate { choice, wait: millis(wait * pace), interference: 0.0, cost }
@@ -253,7 +254,7 @@
         load,
         expected: millis(first),
         nominal: millis(nominal),
-        duration: millis(first),
+        duration: None,
         prefill_only,
         fetch: None,
     }
--- a/crates/policy/src/board/choose.rs
+++ b/crates/policy/src/board/choose.rs
@@ -60,7 +60,7 @@
                 load,
                 expected,
                 nominal,
-                duration: expected,
+                duration: None,
                 prefill_only: false,
                 fetch: None,
             };
--- a/crates/policy/src/board/request.rs
+++ b/crates/policy/src/board/request.rs
@@ -34,6 +34,8 @@
     pub max_output: u32,
     /// Time until the request times out.
     pub left: Duration,
+    /// Time since its first attempt was placed, if this attempt continues that work.
+    pub elapsed: Duration,
     /// Time within which the response must start; an attempt that would start later is refused.
     pub limit: Duration,
     /// Time within which the response should start.
@@ -65,8 +67,9 @@
     pub expected: Duration,
     /// Expected time to the first event at the usual pace.
     pub nominal: Duration,
-    /// Expected time to the end of the run if it generates the greatest number of output tokens.
-    pub duration: Duration,
+    /// Expected time to the end of the run if it generates the greatest number of output tokens;
+    /// `None` for plain services, whose work is not known.
+    pub duration: Option<Duration>,
     /// Whether the endpoint only processes the prompt (prefill).
     pub prefill_only: bool,
     /// Engine from which the endpoint should fetch cached parts of the prompt.
--- a/crates/policy/src/durations.rs
+++ b/crates/policy/src/durations.rs
@@ -4,60 +4,83 @@
 
 use crate::moment::Moment;
 
-/// Factor on the cost model's duration, and on the longest observed one, that allows for spread.
+/// Factor on a duration that allows for spread.
 const SPREAD: f64 = 1.25;
 
-/// Time constant of the decay of observations.
-const TIME_CONSTANT: Duration = Duration::from_secs(30);
+/// The same for a duration that rests on few observations.
+const FEW_SPREAD: f64 = 2.0;
 
-/// Weight of observations, one each when new, from which on the longest of them is a bound.
-const MIN_WEIGHT: f64 = 8.0;
+/// Number of observations from which on the longest of them is a bound by itself.
+const MIN_COUNT: u32 = 16;
 
-/// Durations of the recent requests of one route.
+/// Smallest number of observations that allow for a bound.
+const FEW_COUNT: u32 = 3;
+
+/// Time after which a window of observations is closed; they count until the next one is closed.
+const WINDOW: Duration = Duration::from_secs(60);
+
+/// Observations of one window.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Durations {
+struct Window {
+    count: u32,
     /// Longest duration.
     longest: Duration,
     /// Longest time by which a request took longer than the model's duration times [`SPREAD`].
     excess: Duration,
-    /// Number of observations, where older ones count less.
-    weight: f64,
-    updated: Moment,
+}
+
+impl Window {
+    fn merge(self, other: Self) -> Self {
+        Self {
+            count: self.count.saturating_add(other.count),
+            longest: self.longest.max(other.longest),
+            excess: self.excess.max(other.excess),
+        }
+    }
+}
+
+/// Durations of the recent requests of one route.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Durations {
+    current: Window,
+    previous: Window,
+    /// When the current window was opened.
+    opened: Moment,
 }
 
 impl Durations {
     /// Records the real duration of a request that the model expected to take `expected`.
     pub fn note(&mut self, expected: Duration, real: Duration, now: Moment) {
-        let known = self.decayed(now);
-        *self = Self {
-            longest: known.longest.max(real),
-            excess: known.excess.max(real.saturating_sub(expected.mul_f64(SPREAD))),
-            weight: known.weight + 1.0,
-            updated: now,
-        };
+        *self = self.at(now);
+        let excess = real.saturating_sub(expected.mul_f64(SPREAD));
+        self.current = self.current.merge(Window { count: 1, longest: real, excess });
     }
 
-    /// Bound on the duration of a request that the model expects to take `expected`, unless it is
-    /// an outlier; `None` without observations.
-    pub fn bound(&self, expected: Duration, now: Moment) -> Option<Duration> {
-        if self.weight == 0.0 {
-            return None;
+    /// Bound on the duration of a request, unless it is an outlier; `modelled` is the duration that
+    /// a model of the endpoints gives, if there is one. `None` without enough recent observations.
+    pub fn bound(&self, modelled: Option<Duration>, now: Moment) -> Option<Duration> {
+        let Self { current, previous, .. } = self.at(now);
+        let known = current.merge(previous);
+        let spread = if known.count < MIN_COUNT { FEW_SPREAD } else { SPREAD };
+        let observed = Some(known.longest.mul_f64(spread)).filter(|_| known.count >= FEW_COUNT);
+        let modelled = modelled.map(|modelled| modelled.mul_f64(SPREAD) + known.excess);
+        match (modelled, observed) {
+            (Some(modelled), Some(observed)) if known.count >= MIN_COUNT => {
+                Some(modelled.min(observed))
+            }
+            (Some(modelled), Some(observed)) => Some(modelled.max(observed)),
+            (Some(_), None) => None,
+            (None, observed) => observed,
         }
-        let known = self.decayed(now);
-        let modelled = expected.mul_f64(SPREAD) + known.excess;
-        // The longest observation does not decay, since a route may be idle for long.
-        let observed = Some(self.longest.mul_f64(SPREAD)).filter(|_| known.weight >= MIN_WEIGHT);
-        Some(observed.map_or(modelled, |observed| observed.min(modelled)))
     }
 
-    fn decayed(self, now: Moment) -> Self {
-        let age = now.since(self.updated).as_secs_f64();
-        let factor = (-age / TIME_CONSTANT.as_secs_f64()).exp();
-        Self {
-            longest: self.longest.mul_f64(factor),
-            excess: self.excess.mul_f64(factor),
-            weight: self.weight * factor,
-            updated: now,
+    /// The state with the windows that are open at `now`.
+    fn at(self, now: Moment) -> Self {
+        let age = now.since(self.opened);
+        if age < WINDOW {
+            return self;
         }
+        let previous = if age < WINDOW * 2 { self.current } else { Window::default() };
+        Self { current: Window::default(), previous, opened: now }
     }
 }
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -63,7 +63,9 @@
     /// Engine that replicates the KV cache of the current run.
     pub backup: Option<Backup>,
     /// When the first attempt was placed, and how long it was expected to take.
-    pub begun: Option<(Instant, Duration)>,
+    pub begun: Option<(Instant, Option<Duration>)>,
+    /// Whether the response to the caller has begun.
+    pub answering: bool,
     /// Whether an endpoint may have executed the request.
     pub passed_on: Rc<Cell<bool>>,
 }
@@ -117,6 +119,9 @@
             request.objective = request.limit.min(self.route.objective);
             request.max_wait = self.route.objective.mul_f64(SLACK_FACTOR);
         }
+        if self.answering || matches!(search, Search::Decode(_) | Search::Copy(_)) {
+            request.elapsed = self.begun.map(|(begun, _)| begun.elapsed()).unwrap_or_default();
+        }
         let connections = self.service.connections;
         let placement =
             self.shared.hub.ask(move |node, now| node.place(&request, search, connections, now));
@@ -152,7 +157,7 @@
             "endpoint" => &*placement.name, "search" => search.label(),
             "reads" => placement.prefill_only, "busy" => placement.busy,
             "expected_ms" => placement.expected.as_millis() as u64,
-            "end_ms" => placement.duration.as_millis() as u64,
+            "end_ms" => placement.duration.map(|duration| duration.as_millis() as u64),
             "stop_ms" => self.shared.shutdown.left().map(|left| left.as_millis() as u64),
             "version" => self.version,
             "unread" => placement.load.unread, "trial" => placement.probe,
@@ -205,8 +210,9 @@
     /// Records the duration of a request that was answered completely or has timed out.
     pub fn note_duration(&self) {
         let Some((begun, expected)) = self.begun else { return };
-        let (route, real) = (self.route.name.clone(), begun.elapsed());
-        self.shared.hub.ask(move |node, now| node.note_duration(&route, expected, real, now));
+        let (route, service) = (self.route.name.clone(), self.service.name.clone());
+        let durations = [expected.unwrap_or_default(), begun.elapsed()];
+        self.shared.hub.ask(move |node, now| node.note_duration(&route, &service, durations, now));
     }
 
     /// Whether the route's kind and its maximum number of attempts allow another run.
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -288,6 +288,7 @@
     if success {
         guard.note_first();
     }
+    call.answering = true;
     let (status, headers) = (response.status, response.headers.clone());
     let body = relay(call, guard, response);
     Ok(respond(status, headers, body))
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -151,6 +151,7 @@
         not_sent: 0,
         backup: None,
         begun: None,
+        answering: false,
         passed_on,
     };
     let (service, matched) = (call.service.name.clone(), route.clone());
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -89,8 +89,8 @@
     pub expected: Duration,
     /// The same at the endpoint's usual pace.
     pub nominal: Duration,
-    /// Expected time to the end of the run.
-    pub duration: Duration,
+    /// Expected time to the end of the run, if there is a model of it.
+    pub duration: Option<Duration>,
     /// Whether the endpoint only prefills the prompt.
     pub prefill_only: bool,
     /// Address of the engine from which the endpoint should fetch the KV cache of prompt parts.
@@ -141,6 +141,9 @@
     }
 }
 
+/// Names of a route and of the service that handles a request of it.
+type RouteService = (Arc<str>, Arc<str>);
+
 /// The state of one instance.
 pub struct Node {
     settings: NodeSettings,
@@ -172,8 +175,8 @@
     sent_parts: VecDeque<SentPart>,
     /// When the process exits, if this instance is shutting down.
     stops_at: Option<Moment>,
-    /// Durations of requests, by route.
-    durations: HashMap<Arc<str>, Durations>,
+    /// Durations of requests, by route and service.
+    durations: HashMap<RouteService, Durations>,
 }
 
 impl Node {
@@ -223,7 +226,7 @@
                 self.board.token_transfer_ms = engine.transfer_ms();
             }
             let routes: HashSet<&str> = configuration.routes().map(|route| &*route.name).collect();
-            self.durations.retain(|route, _| routes.contains(&**route));
+            self.durations.retain(|(route, _), _| routes.contains(&**route));
             self.configuration = Some(Arc::new(configuration));
         }
         newer
--- a/crates/serve/src/node/stopping.rs
+++ b/crates/serve/src/node/stopping.rs
@@ -9,9 +9,9 @@
 use crate::node::Node;
 use crate::response::DEFAULT_RETRY_AFTER;
 
-/// Time between the probable end of a run and the exit of the process, for the last bytes of its
-/// response.
-const END_MARGIN: Duration = Duration::from_millis(200);
+/// Time between the probable end of a run and the exit of the process: a new connection to the
+/// endpoint, and the last bytes of the response.
+const END_MARGIN: Duration = Duration::from_millis(500);
 
 /// Time after which a caller should return if other instances are ready: they can serve it at once.
 const OTHERS_RETRY_AFTER: Duration = Duration::from_millis(10);
@@ -33,30 +33,34 @@
         !self.members.addresses(own_domain, None, now).is_empty()
     }
 
-    /// Records the real duration of a request of a route, and the one that was expected.
+    /// Records the real duration of a request of a route at a service, and the one that was expected.
     pub fn note_duration(
         &mut self,
         route: &Arc<str>,
-        expected: Duration,
-        real: Duration,
+        service: &Arc<str>,
+        durations: [Duration; 2],
         now: Moment,
     ) {
-        self.durations.entry(route.clone()).or_default().note(expected, real, now);
+        let [expected, real] = durations;
+        let known = self.durations.entry((route.clone(), service.clone())).or_default();
+        known.note(expected, real, now);
     }
 
-    /// Denies an attempt that may not end before the process exits, which is expected to take
-    /// `duration`. On routes without experience a request may last until its deadline.
+    /// Denies an attempt that may not end before the process exits; `modelled` is its duration as
+    /// the model of the engines gives it. On routes without experience a request may last until
+    /// its deadline.
     pub(super) fn check_shutdown(
         &self,
         request: &PlacementRequest,
-        duration: Duration,
+        modelled: Option<Duration>,
         now: Moment,
     ) -> Result<(), Denial> {
         let Some(end) = self.stops_at else { return Ok(()) };
-        let known = self.durations.get(&request.route);
-        let bound = known.and_then(|known| known.bound(duration, now));
-        let bound = bound.map_or(request.left, |bound| bound.min(request.left));
-        if now + bound + END_MARGIN <= end {
+        let known = self.durations.get(&(request.route.clone(), request.service.clone()));
+        let bound = known.and_then(|known| known.bound(modelled, now));
+        let left = bound
+            .map_or(request.left, |bound| bound.saturating_sub(request.elapsed).min(request.left));
+        if now + left + END_MARGIN <= end {
             return Ok(());
         }
         let retry_after =
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -168,7 +168,10 @@
 ) -> Option<Run> {
     let (end, cause) = match stop {
         Stop::CallerGone => ("left", "the caller disconnected".to_owned()),
-        Stop::TimedOut => ("late", "the request timed out".to_owned()),
+        Stop::TimedOut => {
+            call.note_duration();
+            ("late", "the request timed out".to_owned())
+        }
         Stop::Broken(cause) => ("broken", cause),
     };
     if end == "broken" {
