Short grace periods, true refusals and late connections at a stop

With a grace period of 0.4 s or less nothing was answered at the end, since no task ran between the signal for it and the exit; a huge one ended the process at SIGTERM. Requests that an endpoint had refused, or that were never sent, got 502 at the end in place of "not run". Half of the connections that ask for readiness or the directory late were closed unread. Callers without another instance were all told to come back after exactly half a second.

Change: margins are at most a fifth of the grace period each, tasks run before the exit, the period has a bound; what was not sent counts as not passed on; arrived requests are read before a connection is closed; such refusals are spread.

--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -192,6 +192,9 @@
         if !matches!(sent, SendOutcome::NotSent(_) | SendOutcome::Withheld(_)) {
             self.sends += 1;
         }
+        if !matches!(sent, SendOutcome::Responded(_) | SendOutcome::Unknown(_)) && self.runs == 0 {
+            self.passed_on.set(false);
+        }
         sent
     }
 
@@ -273,6 +276,9 @@
             DenialCause::TooLate => "no endpoint can answer in time",
             DenialCause::Stopping => {
                 let (retry_after, cause) = (denial.retry_after, "the instance is shutting down");
+                if retry_after >= DEFAULT_RETRY_AFTER {
+                    return not_run(retry_after, cause);
+                }
                 return Failure::NotRun { retry_after, cause };
             }
             DenialCause::Paused => {
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -209,6 +209,8 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let ended = tokio::select! {
+        // A request that has arrived is read before the connection is closed.
+        biased;
         ended = connection.as_mut() => ended,
         () = shared.closing.cancelled() => {
             connection.as_mut().graceful_shutdown();
--- a/crates/serve/src/shutdown.rs
+++ b/crates/serve/src/shutdown.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use agatestair_runtime::log_event;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::directory::lifetime;
@@ -23,14 +24,21 @@
 /// Time before the exit at which requests without a response are answered with an error.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
+/// Largest part of the grace period that each of these margins takes.
+const MARGIN_DIVISOR: u32 = 5;
+
+/// Longest grace period.
+const MAX_GRACE: Duration = Duration::from_secs(24 * 3600);
+
 /// Time between two checks for open requests during shutdown.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
 /// Largest number of seconds of a shutdown that are counted apart; later ones add to the last.
 const MAX_SECONDS: usize = 64;
 
-/// Waits until there is no open work or the deadline has passed.
+/// Waits until there is no open work or the deadline has passed; lets other tasks run at least once.
 async fn drained(shared: &Shared, deadline: Instant) {
+    yield_now().await;
     while shared.open_work() > 0 && Instant::now() < deadline {
         sleep(DRAIN_CHECK).await;
     }
@@ -89,11 +97,13 @@
 /// have moved on, and drains open requests within the grace period.
 pub async fn shut_down(shared: &Rc<Shared>, own: &Member) {
     let begun = Instant::now();
-    let grace = Duration::from_secs_f64(shared.settings().bounds.grace_s);
-    let left = grace.saturating_sub(EXIT_MARGIN);
-    let answers = begun + left.saturating_sub(ANSWER_MARGIN);
+    let grace = Duration::try_from_secs_f64(shared.settings().bounds.grace_s);
+    let grace = grace.unwrap_or(MAX_GRACE).min(MAX_GRACE);
+    let left = grace - EXIT_MARGIN.min(grace / MARGIN_DIVISOR);
+    let working = left - ANSWER_MARGIN.min(grace / MARGIN_DIVISOR);
+    let answers = begun + working;
     shared.shutdown.period.set(Some(GracePeriod { begun, end: answers }));
-    shared.hub.ask(move |node, now| node.begin_shutdown(now + left.saturating_sub(ANSWER_MARGIN)));
+    shared.hub.ask(move |node, now| node.begin_shutdown(now + working));
     shared.leaving.cancel();
     log_event!(shared.log, STOPPING, "open" => shared.open.len(),
         "grace_ms" => grace.as_millis() as u64);
