The row of a stopped instance is removed although the store is away

Found by the review, by reading: one removal was tried, and an instance that was stopped in its start could write its row after that. Callers see nothing of it; other instances count the row's owner among those that share limits for 5 s after they start.

Change: the removal is repeated until the process exits; joining ends with the signal.

--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -213,7 +213,13 @@
     supervise(&shared, "configuration", |shared| follow(shared, Table::Configuration));
     supervise(&shared, "endpoints", |shared| follow(shared, Table::Endpoints));
     let member = own.clone();
-    supervise(&shared, "members", move |shared| join(shared, member.clone(), hellos.clone()));
+    supervise(&shared, "members", move |shared| {
+        let (leaving, joining) =
+            (shared.leaving.clone(), join(shared, member.clone(), hellos.clone()));
+        async move {
+            leaving.run_until_cancelled(joining).await;
+        }
+    });
     supervise(&shared, "caches", query_caches);
     supervise(&shared, "sweep", sweep);
     spawn(watch_settings(shared.clone(), reload, hangup));
--- a/crates/serve/src/shutdown.rs
+++ b/crates/serve/src/shutdown.rs
@@ -30,6 +30,9 @@
 /// Longest grace period.
 const MAX_GRACE: Duration = Duration::from_secs(24 * 3600);
 
+/// Pause after a failed removal of the instance's row.
+const REMOVAL_PAUSE: Duration = Duration::from_millis(500);
+
 /// Time between two checks for open requests during shutdown.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
@@ -133,18 +136,21 @@
     used && !shared.hub.ask(|node, now| node.others_ready(now))
 }
 
+/// Removes this instance's row from the store, until that succeeds or the process exits.
 fn remove_row(shared: &Rc<Shared>, own: &Member) {
     let (shared, name): (Rc<Shared>, Arc<str>) = (shared.clone(), own.name.clone());
     tokio::task::spawn_local(async move {
-        let transaction = Transaction {
-            table: Table::Instances,
-            expected: Vec::new(),
-            writes: Vec::new(),
-            removals: vec![name],
-        };
-        if let Err(error) = (shared.store.commit)(transaction).await {
+        loop {
+            let transaction = Transaction {
+                table: Table::Instances,
+                expected: Vec::new(),
+                writes: Vec::new(),
+                removals: vec![name.clone()],
+            };
             // Other instances remove a silent instance by themselves.
+            let Err(error) = (shared.store.commit)(transaction).await else { return };
             log_event!(shared.log, ROW_WRITE_FAILED, "error" => error.to_string());
+            sleep(REMOVAL_PAUSE).await;
         }
     });
 }
