Bounds from few observations allow for half as much again

Twice the longest of three to fifteen observations refused the second attempt of a repeatable request that its first engine held up (case "resume, refused late" of the shutdown tests: 502 where served it).

--- a/crates/policy/src/durations.rs
+++ b/crates/policy/src/durations.rs
@@ -8,7 +8,7 @@
 const SPREAD: f64 = 1.25;
 
 /// The same for a duration that rests on few observations.
-const FEW_SPREAD: f64 = 2.0;
+const FEW_SPREAD: f64 = 1.5;
 
 /// Number of observations from which on the longest of them is a bound by itself.
 const MIN_COUNT: u32 = 16;
