A row that is written late does not outlive the instance

Change: if the last write of the row has an unknown outcome, the row is removed once more before the exit.

--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -187,6 +187,7 @@
         ending: CancellationToken::new(),
         open: OpenRequests::default(),
         shutdown: Shutdown::default(),
+        row_unsure: Cell::new(false),
         connections: Cell::new(0),
         body_bytes: Cell::new(0),
     });
@@ -311,7 +312,9 @@
         writes: vec![(own.name.clone(), value)],
         removals: Vec::new(),
     };
+    shared.row_unsure.set(true);
     (shared.store.commit)(transaction).await?;
+    shared.row_unsure.set(false);
     read_members(shared, own).await.map(drop)
 }
 
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -80,6 +80,8 @@
     pub open: OpenRequests,
     /// Progress of the shutdown.
     pub shutdown: Shutdown,
+    /// Whether a write of the instance's row has an unknown outcome: it may be applied late.
+    pub row_unsure: Cell<bool>,
     /// Number of open callers' connections.
     pub connections: Cell<usize>,
     /// Bytes of request bodies in memory.
--- a/crates/serve/src/shutdown.rs
+++ b/crates/serve/src/shutdown.rs
@@ -7,7 +7,7 @@
 
 use agatestair_runtime::log_event;
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::directory::lifetime;
 use crate::events::{REQUEST_CUT, ROW_WRITE_FAILED, STOPPED, STOPPING};
@@ -120,6 +120,13 @@
     drained(shared, answers).await;
     shared.ending.cancel();
     drained(shared, begun + left).await;
+    if shared.row_unsure.get() {
+        // The write may have been applied after the removal.
+        let again = timeout(ANSWER_MARGIN, try_remove_row(shared, &own.name)).await;
+        if again.is_err() {
+            log_event!(shared.log, ROW_WRITE_FAILED, "error" => "no time to remove the row again");
+        }
+    }
     let cut = shared.open.list();
     for request in &cut {
         log_event!(shared.log, REQUEST_CUT, "request" => request.id.as_deref(),
@@ -140,17 +147,23 @@
 fn remove_row(shared: &Rc<Shared>, own: &Member) {
     let (shared, name): (Rc<Shared>, Arc<str>) = (shared.clone(), own.name.clone());
     tokio::task::spawn_local(async move {
-        loop {
-            let transaction = Transaction {
-                table: Table::Instances,
-                expected: Vec::new(),
-                writes: Vec::new(),
-                removals: vec![name.clone()],
-            };
-            // Other instances remove a silent instance by themselves.
-            let Err(error) = (shared.store.commit)(transaction).await else { return };
-            log_event!(shared.log, ROW_WRITE_FAILED, "error" => error.to_string());
+        while !try_remove_row(&shared, &name).await {
             sleep(REMOVAL_PAUSE).await;
         }
     });
 }
+
+async fn try_remove_row(shared: &Shared, name: &Arc<str>) -> bool {
+    let transaction = Transaction {
+        table: Table::Instances,
+        expected: Vec::new(),
+        writes: Vec::new(),
+        removals: vec![name.clone()],
+    };
+    let removed = (shared.store.commit)(transaction).await;
+    if let Err(error) = &removed {
+        // Other instances remove a silent instance by themselves.
+        log_event!(shared.log, ROW_WRITE_FAILED, "error" => error.to_string());
+    }
+    removed.is_ok()
+}
