Log crashes of endpoints with the prompts whose runs they break

Event 5046 names, for each run that broke and whose endpoint refuses connections at once, the endpoint, the parts of the prompt that others may share, and how many ends the request has met.

--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -66,6 +66,8 @@
     pub begun: Option<(Instant, Option<Duration>)>,
     /// Whether the response to the caller has begun.
     pub answering: bool,
+    /// Endpoints that crashed during a run of the request.
+    pub crashes: u32,
     /// Whether an endpoint may have executed the request.
     pub passed_on: Rc<Cell<bool>>,
 }
@@ -143,6 +145,12 @@
         }
     }
 
+    /// Identifiers of the prompt's parts that it may share with other prompts: all but the last.
+    pub fn shared_parts(&self) -> Vec<u64> {
+        let parts = self.facts.prompt.iter().filter_map(|prompt| prompt.parts.split_last());
+        parts.flat_map(|(_, shared)| shared.iter().map(|part| part.id)).collect()
+    }
+
     fn log_denial(&self, search: Search, denial: &Denial, share: Option<f64>) {
         log_event!(self.shared.log, NOT_PLACED, "request" => self.forwarded.id.as_deref(),
             "service" => &*self.service.name, "search" => search.label(),
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -124,6 +124,9 @@
 /// The process exits although a request has no complete answer yet.
 pub const REQUEST_CUT: Event =
     Event { number: 5045, level: Level::Warning, text: "request cut by shutdown" };
+/// A run broke because its endpoint's process crashed.
+pub const ENDPOINT_CRASHED: Event =
+    Event { number: 5046, level: Level::Warning, text: "endpoint crashed during a run" };
 /// All events of this crate.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -168,4 +171,5 @@
     ENDPOINT_LIMITED,
     ATTEMPT_WITHHELD,
     REQUEST_CUT,
+    ENDPOINT_CRASHED,
 ];
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -15,6 +15,7 @@
 use crate::body::ResponseBody;
 use crate::call::{Call, after_failure};
 use crate::connection::request_once;
+use crate::crash::note_broken;
 use crate::events::HANDLE_NOT_FREED;
 use crate::node::Search;
 use crate::reach::until_unreachable;
@@ -140,6 +141,9 @@
                     handle = None;
                     split = false;
                 }
+                if matches!(sent, SendOutcome::Unknown(_)) {
+                    note_broken(&mut call, &guard, None).await;
+                }
                 if let Some(failure) = after_failure(&mut call, &guard, sent) {
                     return Err(failure);
                 }
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -152,6 +152,7 @@
         backup: None,
         begun: None,
         answering: false,
+        crashes: 0,
         passed_on,
     };
     let (service, matched) = (call.service.name.clone(), route.clone());
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -16,6 +16,7 @@
 mod collectors;
 mod configuration;
 mod connection;
+mod crash;
 mod cursor;
 mod datagram;
 mod digests;
--- a/crates/serve/src/plain.rs
+++ b/crates/serve/src/plain.rs
@@ -7,6 +7,7 @@
 use crate::attempt_guard::AttemptGuard;
 use crate::body::ResponseBody;
 use crate::call::{Call, after_failure};
+use crate::crash::note_broken;
 use crate::node::Search;
 use crate::response::{Failure, respond};
 use crate::send::{EndpointResponse, SendOutcome};
@@ -52,10 +53,15 @@
                 guard.note_first();
                 return Ok(response);
             }
-            Err(sent) => match after_failure(&mut call, &guard, sent) {
-                None => {}
-                Some(failure) => return last_error.ok_or(failure),
-            },
+            Err(sent) => {
+                if matches!(sent, SendOutcome::Unknown(_)) {
+                    note_broken(&mut call, &guard, None).await;
+                }
+                match after_failure(&mut call, &guard, sent) {
+                    None => {}
+                    Some(failure) => return last_error.ok_or(failure),
+                }
+            }
         }
     }
 }
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -15,6 +15,7 @@
 use crate::buffer_limit::BufferGuard;
 use crate::call::Call;
 use crate::connection::Connection;
+use crate::crash::note_broken;
 use crate::events::{ATTEMPT_FAILED, RESUMED, STREAMED};
 use crate::node::Search;
 use crate::reach::until_unreachable;
@@ -32,6 +33,8 @@
     body: Incoming,
     connection: Connection,
     idle: Option<Duration>,
+    /// When the response head arrived.
+    begun: Instant,
 }
 
 impl Run {
@@ -41,6 +44,7 @@
             body: response.body,
             connection: response.connection,
             idle: response.facts.idle,
+            begun: Instant::now(),
         }
     }
 }
@@ -175,9 +179,13 @@
         Stop::Broken(cause) => ("broken", cause),
     };
     if end == "broken" {
-        call.note_failed(&run.guard, FailureKind::Broken, &cause);
-        // Closes the connection, which ends this run before another one starts.
-        drop(run);
+        // Closing the connection ends this run before another one starts.
+        let Run { guard, begun, body, connection, .. } = run;
+        let answering = begun.elapsed();
+        drop((body, connection));
+        call.note_failed(&guard, FailureKind::Broken, &cause);
+        note_broken(call, &guard, Some(answering)).await;
+        drop(guard);
         events.take_rest();
         if let Some(next) = fail_over(call, events).await {
             return Some(next);
@@ -240,6 +248,9 @@
                 call.runs += 1;
             }
             call.note_failed(&guard, FailureKind::Broken, "the stream was not resumed");
+            if matches!(sent, SendOutcome::Unknown(_)) {
+                note_broken(call, &guard, None).await;
+            }
             return Err(ResumeError::Failed);
         }
         Err(_) => return Err(ResumeError::Exhausted),
