--- a/crates/policy/src/board/request.rs
+++ b/crates/policy/src/board/request.rs
@@ -87,6 +87,8 @@
     Paused,
     /// The endpoints' rate limits allow no request now.
     Limited,
+    /// A part of the prompt is quarantined.
+    Quarantined,
     /// The instance is shutting down, and the work may not end before it exits.
     Stopping,
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 mod mix;
 mod moment;
 mod plans;
+mod quarantine;
 mod queue;
 mod request;
 mod retry;
@@ -33,6 +34,10 @@
 pub use durations::Durations;
 pub use keys::{AttemptKey, EndpointKey, RequestKey};
 pub use moment::Moment;
+pub use quarantine::{
+    CrashReport, ProcessKey, Quarantine, QuarantineChange, QuarantineCheck, ServicePart, Survival,
+    Verdict,
+};
 pub use request::{Call, Completion, RequestFacts, Work};
 pub use retry::{RetryBudget, RetrySettings};
 pub use roles::{RoleChange, RolePlanner, RoleSettings};
--- /dev/null
+++ b/crates/policy/src/quarantine.rs
@@ -0,0 +1,509 @@
+//! Quarantine of prompt parts that crash the engines that answer them.
+//!
+//! Instances report the crashes that they observe, each with the parts of the prompts whose answers
+//! were beginning at the crashed process. A part that keeps occurring in crashes and in no run that
+//! survives is quarantined: no instance sends prompts with it any more. A crash has one cause, so
+//! crashes that a quarantined part explains are not held against other parts.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use crate::moment::Moment;
+
+/// Crashes within this time of each other count as one, since they may have a common cause outside
+/// the endpoints, for example the loss of a rack.
+const SAME_CAUSE: Duration = Duration::from_millis(100);
+
+/// Crashes after which a part is quarantined.
+const MIN_CRASHES: usize = 3;
+
+/// The same for a part of which a run survived shortly before.
+const PROVEN_CRASHES: usize = 5;
+
+/// Age up to which a surviving run raises the number of crashes that is necessary.
+const PROVEN_AGE: Duration = Duration::from_secs(60);
+
+/// Crashes of a part from which on runs that survive are reported to other instances.
+const DOUBTED_CRASHES: usize = 2;
+
+/// Crashes of a quarantined part from which on no trial request is sent.
+const CERTAIN_CRASHES: usize = 5;
+
+/// Time after which one request with a quarantined part is sent as a trial.
+const TRIAL_AFTER: Duration = Duration::from_secs(60);
+
+/// Time without requests after which a part is no longer quarantined.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+
+/// Time after which it is reported again that requests with a quarantined part still come.
+const SEEN_REFRESH: Duration = Duration::from_secs(60);
+
+/// Age of a verdict from which on an instance that does not act by it is told again; before, the
+/// first report may still be on its way.
+const REMIND_AFTER: Duration = Duration::from_secs(1);
+
+/// Age at which a crash no longer counts.
+const CRASH_LIFETIME: Duration = Duration::from_secs(600);
+
+/// Largest number of crashes that are kept; the oldest is dropped first.
+const MAX_CRASHES: usize = 64;
+
+/// Largest number of suspects of a crash.
+const MAX_SUSPECTS: usize = 256;
+
+/// Largest number of quarantined parts; the one without requests for longest is dropped first.
+const MAX_QUARANTINED: usize = 256;
+
+/// Largest number of parts whose surviving runs are remembered.
+const MAX_SURVIVORS: usize = 4096;
+
+/// A prompt part at a service, both as hashes.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ServicePart {
+    /// Hash of the service's name.
+    pub service: u64,
+    /// Identifier of the part.
+    pub part: u64,
+}
+
+/// One process of an endpoint.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ProcessKey {
+    /// Hash of the endpoint's name.
+    pub endpoint: u64,
+    /// Start time in Unix milliseconds.
+    pub born: u64,
+}
+
+/// A crash of an endpoint, as one instance observed it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CrashReport {
+    /// The process that crashed.
+    pub process: ProcessKey,
+    /// Hash of the name of its service.
+    pub service: u64,
+    /// Time since the crash.
+    pub age: Duration,
+    /// Parts of the prompts whose answers were beginning, without the last one of each prompt.
+    pub suspects: Vec<u64>,
+}
+
+/// A quarantined part, as reported to other instances.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Verdict {
+    /// The part.
+    pub part: ServicePart,
+    /// Time since it was quarantined.
+    pub age: Duration,
+    /// Time since the last request with it.
+    pub seen: Duration,
+    /// Crashes that it explains.
+    pub crashes: u32,
+}
+
+/// A run with a suspected part that survived.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Survival {
+    /// The part.
+    pub part: ServicePart,
+    /// Time since then.
+    pub age: Duration,
+}
+
+/// A change of the set of quarantined parts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum QuarantineChange {
+    /// A part is quarantined.
+    Added(Verdict),
+    /// A part is quarantined no longer, since a run with it survived.
+    Released(ServicePart),
+    /// A part is quarantined no longer, since no requests with it came.
+    Forgotten(ServicePart),
+}
+
+/// What to do with a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QuarantineCheck {
+    /// No part is quarantined.
+    Clear,
+    /// The request is the trial of a quarantined part.
+    Trial(u64),
+    /// The request holds this quarantined part and must not be sent.
+    Denied(u64),
+}
+
+#[derive(Clone, Debug)]
+struct Crash {
+    process: ProcessKey,
+    service: u64,
+    at: Moment,
+    suspects: HashSet<u64>,
+    /// When this instance observed it, and the suspects that it added.
+    own: Option<(Moment, Vec<u64>)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    since: Moment,
+    seen: Moment,
+    /// Latest request that other instances know of.
+    known: Moment,
+    crashes: u32,
+    tried: bool,
+    /// When this instance decided or refreshed it, to report it.
+    reported: Option<Moment>,
+}
+
+/// Evidence on prompt parts, and the parts that are quarantined.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    crashes: Vec<Crash>,
+    /// Latest run with each part that survived.
+    survivors: HashMap<ServicePart, Moment>,
+    /// Survivals that this instance reports, and since when.
+    survivals: HashMap<ServicePart, Moment>,
+    entries: HashMap<ServicePart, Entry>,
+}
+
+impl Quarantine {
+    /// Whether a process is known to have crashed.
+    pub fn has_crashed(&self, process: ProcessKey) -> bool {
+        self.crashes.iter().any(|crash| crash.process == process)
+    }
+
+    /// Records a crash that this instance observed.
+    pub fn note_crash(&mut self, report: &CrashReport, now: Moment) -> Vec<QuarantineChange> {
+        let index = self.add_crash(report, now);
+        let own = &mut self.crashes[index].own;
+        let (at, known) = own.get_or_insert((now, Vec::new()));
+        for part in &report.suspects {
+            if known.len() < MAX_SUSPECTS && !known.contains(part) {
+                known.push(*part);
+                *at = now;
+            }
+        }
+        self.judge(now)
+    }
+
+    /// Records a crash that another instance observed.
+    pub fn note_peer_crash(&mut self, report: &CrashReport, now: Moment) -> Vec<QuarantineChange> {
+        self.add_crash(report, now);
+        self.judge(now)
+    }
+
+    /// Records that a run with these parts survived: it was completed, or its answer went on for long.
+    pub fn note_survived(
+        &mut self,
+        service: u64,
+        parts: impl Iterator<Item = u64>,
+        now: Moment,
+    ) -> Vec<QuarantineChange> {
+        let mut changes = Vec::new();
+        for part in parts {
+            let part = ServicePart { service, part };
+            self.survivors.insert(part, now);
+            if self.entries.remove(&part).is_some() {
+                self.survivals.insert(part, now);
+                changes.push(QuarantineChange::Released(part));
+            }
+        }
+        self.trim_survivors(now);
+        changes
+    }
+
+    /// Records a survival that another instance reports.
+    pub fn note_peer_survival(
+        &mut self,
+        survival: Survival,
+        now: Moment,
+    ) -> Option<QuarantineChange> {
+        let (part, at) = (survival.part, now - survival.age);
+        let known = self.survivors.entry(part).or_insert(at);
+        *known = (*known).max(at);
+        self.trim_survivors(now);
+        let refuted = self.entries.get(&part).is_some_and(|entry| entry.since < at);
+        refuted.then(|| {
+            self.entries.remove(&part);
+            QuarantineChange::Released(part)
+        })
+    }
+
+    /// Records a verdict of another instance.
+    pub fn note_peer_verdict(&mut self, verdict: Verdict, now: Moment) -> Option<QuarantineChange> {
+        let (since, seen) = (now - verdict.age, now - verdict.seen);
+        if let Some(entry) = self.entries.get_mut(&verdict.part) {
+            entry.seen = entry.seen.max(seen);
+            entry.known = entry.known.max(seen);
+            entry.crashes = entry.crashes.max(verdict.crashes);
+            entry.since = entry.since.min(since);
+            return None;
+        }
+        if let Some(at) = self.survivors.get(&verdict.part).filter(|at| **at > since) {
+            self.survivals.insert(verdict.part, *at);
+            return None;
+        }
+        let entry = Entry {
+            since,
+            seen,
+            known: seen,
+            crashes: verdict.crashes,
+            tried: false,
+            reported: None,
+        };
+        self.insert(verdict.part, entry);
+        Some(QuarantineChange::Added(verdict))
+    }
+
+    /// Whether a request with these parts may be sent; `elected` tells whether this instance sends
+    /// the trial of a part.
+    pub fn check(
+        &mut self,
+        service: u64,
+        parts: impl Iterator<Item = u64>,
+        elected: impl Fn(u64) -> bool,
+        now: Moment,
+    ) -> QuarantineCheck {
+        let mut result = QuarantineCheck::Clear;
+        if self.entries.is_empty() {
+            return result;
+        }
+        for part in parts {
+            let Some(entry) = self.entries.get_mut(&ServicePart { service, part }) else {
+                continue;
+            };
+            entry.seen = now;
+            if entry.known + SEEN_REFRESH <= now {
+                (entry.known, entry.reported) = (now, Some(now));
+            }
+            let due = !entry.tried
+                && (entry.crashes as usize) < CERTAIN_CRASHES
+                && now.since(entry.since) >= TRIAL_AFTER;
+            if due && result == QuarantineCheck::Clear && elected(part) {
+                result = QuarantineCheck::Trial(part);
+            } else {
+                return QuarantineCheck::Denied(part);
+            }
+        }
+        if let QuarantineCheck::Trial(part) = result
+            && let Some(entry) = self.entries.get_mut(&ServicePart { service, part })
+        {
+            entry.tried = true;
+        }
+        result
+    }
+
+    /// Whether one of these parts is quarantined.
+    pub fn contains(&self, service: u64, mut parts: impl Iterator<Item = u64>) -> bool {
+        parts.any(|part| self.entries.contains_key(&ServicePart { service, part }))
+    }
+
+    /// Reports verdicts on these parts again, to an instance that has sent a request with one.
+    pub fn report_again(
+        &mut self,
+        service: u64,
+        parts: &[u64],
+        elected: impl Fn(u64) -> bool,
+        now: Moment,
+    ) {
+        for part in parts {
+            let Some(entry) = self.entries.get_mut(&ServicePart { service, part: *part }) else {
+                continue;
+            };
+            if elected(*part) && now.since(entry.since) >= REMIND_AFTER {
+                entry.reported = Some(now);
+            }
+        }
+    }
+
+    /// Removes old crashes, and parts without requests.
+    pub fn expire(&mut self, now: Moment) -> Vec<QuarantineChange> {
+        self.crashes.retain(|crash| now.since(crash.at) < CRASH_LIFETIME);
+        self.survivals.retain(|_, since| now.since(*since) < PROVEN_AGE);
+        let old = self.entries.iter().filter(|(_, entry)| now.since(entry.seen) >= FORGET_AFTER);
+        let old: Vec<ServicePart> = old.map(|(part, _)| *part).collect();
+        for part in &old {
+            self.entries.remove(part);
+        }
+        old.into_iter().map(QuarantineChange::Forgotten).collect()
+    }
+
+    /// Crashes that this instance observed within the last `within`.
+    pub fn crash_reports(&self, within: Duration, now: Moment) -> Vec<CrashReport> {
+        let report = |crash: &Crash| {
+            let (at, suspects) = crash.own.as_ref()?;
+            (now.since(*at) < within).then(|| CrashReport {
+                process: crash.process,
+                service: crash.service,
+                age: now.since(crash.at),
+                suspects: suspects.clone(),
+            })
+        };
+        self.crashes.iter().rev().filter_map(report).collect()
+    }
+
+    /// Verdicts that this instance reached or refreshed within the last `within`.
+    pub fn recent_verdicts(&self, within: Duration, now: Moment) -> Vec<Verdict> {
+        self.verdicts(now, |entry| {
+            entry.reported.is_some_and(|reported| now.since(reported) < within)
+        })
+    }
+
+    /// All verdicts in force, for instances that may not know of them.
+    pub fn all_verdicts(&self, now: Moment) -> Vec<Verdict> {
+        self.verdicts(now, |_| true)
+    }
+
+    /// Survivals of doubted parts that this instance learned to be of use to others within the last
+    /// `within`.
+    pub fn survivals(&self, within: Duration, now: Moment) -> Vec<Survival> {
+        let recent = self.survivals.iter().filter(|(_, since)| now.since(**since) < within);
+        let recent = recent.filter_map(|(part, _)| {
+            let at = self.survivors.get(part)?;
+            Some(Survival { part: *part, age: now.since(*at) })
+        });
+        let mut recent: Vec<Survival> = recent.collect();
+        recent.sort_by_key(|survival| survival.part);
+        recent
+    }
+
+    fn verdicts(&self, now: Moment, selected: impl Fn(&Entry) -> bool) -> Vec<Verdict> {
+        let selected = self.entries.iter().filter(|(_, entry)| selected(entry));
+        let mut verdicts: Vec<Verdict> =
+            selected.map(|(part, entry)| verdict(*part, entry, now)).collect();
+        verdicts.sort_by_key(|verdict| (verdict.seen, verdict.part));
+        verdicts
+    }
+
+    /// Adds the suspects of a report to its crash; returns the crash's index.
+    fn add_crash(&mut self, report: &CrashReport, now: Moment) -> usize {
+        let at = now - report.age;
+        let known = self.crashes.iter().position(|crash| crash.process == report.process);
+        let index = known.unwrap_or_else(|| {
+            if self.crashes.len() >= MAX_CRASHES {
+                self.crashes.remove(0);
+            }
+            self.crashes.push(Crash {
+                process: report.process,
+                service: report.service,
+                at,
+                suspects: HashSet::new(),
+                own: None,
+            });
+            self.crashes.len() - 1
+        });
+        let crash = &mut self.crashes[index];
+        crash.at = crash.at.min(at);
+        for part in &report.suspects {
+            let is_new = crash.suspects.len() < MAX_SUSPECTS && crash.suspects.insert(*part);
+            let part = ServicePart { service: crash.service, part: *part };
+            if let Some(entry) = self.entries.get_mut(&part).filter(|_| is_new) {
+                entry.crashes += 1;
+            }
+        }
+        index
+    }
+
+    /// Quarantines the parts that the evidence is sufficient for.
+    fn judge(&mut self, now: Moment) -> Vec<QuarantineChange> {
+        let mut changes = Vec::new();
+        loop {
+            let evidence = self.evidence();
+            let sufficient = evidence.iter().filter(|(part, crashes)| {
+                let count = distinct(crashes);
+                count >= MIN_CRASHES && count >= self.necessary(**part, crashes)
+            });
+            let guilty = sufficient.max_by_key(|(part, crashes)| (distinct(crashes), **part));
+            let Some((part, crashes)) = guilty else {
+                self.note_doubted(&evidence, now);
+                return changes;
+            };
+            let count = u32::try_from(crashes.len()).unwrap_or(u32::MAX);
+            let entry = Entry {
+                since: now,
+                seen: now,
+                known: now,
+                crashes: count,
+                tried: false,
+                reported: Some(now),
+            };
+            let part = *part;
+            self.insert(part, entry);
+            changes.push(QuarantineChange::Added(verdict(part, &entry, now)));
+        }
+    }
+
+    /// Times of the unexplained crashes since the last survival of each suspect.
+    fn evidence(&self) -> HashMap<ServicePart, Vec<Moment>> {
+        let mut evidence: HashMap<ServicePart, Vec<Moment>> = HashMap::new();
+        for crash in &self.crashes {
+            let part = |part: &u64| ServicePart { service: crash.service, part: *part };
+            if crash.suspects.iter().any(|suspect| self.entries.contains_key(&part(suspect))) {
+                continue;
+            }
+            for suspect in crash.suspects.iter().map(part) {
+                if self.survivors.get(&suspect).is_none_or(|at| *at < crash.at) {
+                    evidence.entry(suspect).or_default().push(crash.at);
+                }
+            }
+        }
+        evidence.values_mut().for_each(|crashes| crashes.sort_unstable());
+        evidence
+    }
+
+    /// Number of crashes that are necessary to quarantine a part.
+    fn necessary(&self, part: ServicePart, crashes: &[Moment]) -> usize {
+        let proven = self.survivors.get(&part).zip(crashes.first());
+        let proven = proven.is_some_and(|(at, first)| first.since(*at) < PROVEN_AGE);
+        if proven { PROVEN_CRASHES } else { MIN_CRASHES }
+    }
+
+    /// Selects the survivals that other instances should know of.
+    fn note_doubted(&mut self, evidence: &HashMap<ServicePart, Vec<Moment>>, now: Moment) {
+        for (part, crashes) in evidence {
+            let survived = self.survivors.get(part).is_some_and(|at| now.since(*at) < PROVEN_AGE);
+            if survived && distinct(crashes) >= DOUBTED_CRASHES {
+                self.survivals.entry(*part).or_insert(now);
+            }
+        }
+    }
+
+    fn insert(&mut self, part: ServicePart, entry: Entry) {
+        if self.entries.len() >= MAX_QUARANTINED {
+            let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.seen);
+            if let Some(oldest) = oldest.map(|(part, _)| *part) {
+                self.entries.remove(&oldest);
+            }
+        }
+        self.entries.insert(part, entry);
+    }
+
+    fn trim_survivors(&mut self, now: Moment) {
+        let mut age = PROVEN_AGE;
+        while self.survivors.len() > MAX_SURVIVORS {
+            self.survivors.retain(|_, at| now.since(*at) < age);
+            age /= 2;
+        }
+    }
+}
+
+fn verdict(part: ServicePart, entry: &Entry, now: Moment) -> Verdict {
+    Verdict {
+        part,
+        age: now.since(entry.since),
+        seen: now.since(entry.seen),
+        crashes: entry.crashes,
+    }
+}
+
+/// Number of crashes, where those within [`SAME_CAUSE`] of each other count once.
+fn distinct(crashes: &[Moment]) -> usize {
+    let mut count = 0;
+    let mut last: Option<Moment> = None;
+    for at in crashes {
+        if last.is_none_or(|last| at.since(last) >= SAME_CAUSE) {
+            count += 1;
+            last = Some(*at);
+        }
+    }
+    count
+}
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -5,15 +5,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agatestair_policy::EndpointKey;
 use agatestair_policy::board::{Denial, DenialCause, FailureKind, PlacementRequest};
+use agatestair_policy::{EndpointKey, QuarantineCheck};
 use agatestair_runtime::log_event;
 use rand::Rng;
 use tokio::time::Instant;
 
 use crate::attempt_guard::AttemptGuard;
 use crate::configuration::{Route, Service};
-use crate::events::{ATTEMPT_FAILED, ATTEMPT_WITHHELD, ENDPOINT_EJECTED, NOT_PLACED, PLACED};
+use crate::events::{
+    ATTEMPT_FAILED, ATTEMPT_WITHHELD, ENDPOINT_EJECTED, NOT_PLACED, PART_TRIED, PLACED,
+};
 use crate::node::{Backup, Placement, Search};
 use crate::response::{DEFAULT_RETRY_AFTER, Failure, not_run, not_run_within};
 use crate::send::{ForwardedRequest, SendOutcome, send};
@@ -31,6 +33,13 @@
 /// Divides the time remaining to get the longest retry delay that a paused service returns.
 const RETRY_DIVISOR: u32 = 3;
 
+/// Number of endpoints that may crash during runs of a request before it is given up.
+const MAX_CRASHES: u32 = 2;
+
+/// Retry delay for callers whose prompt holds a quarantined part. The part is tried again at most
+/// once.
+const QUARANTINED_RETRY_AFTER: Duration = Duration::from_secs(60);
+
 /// Maximum number of attempts that send nothing and may be followed by another attempt.
 const MAX_NOT_SENT: u32 = 6;
 
@@ -68,6 +77,8 @@
     pub answering: bool,
     /// Endpoints that crashed during a run of the request.
     pub crashes: u32,
+    /// Whether the request is the trial of a quarantined prompt part.
+    pub trial: bool,
     /// Whether an endpoint may have executed the request.
     pub passed_on: Rc<Cell<bool>>,
 }
@@ -115,6 +126,7 @@
     ///
     /// Returns a [`Denial`] if no endpoint can take the attempt.
     pub fn place(&mut self, search: Search) -> Result<AttemptGuard, Denial> {
+        self.check_quarantine(search)?;
         let mut request = self.placement_request();
         if matches!(search, Search::Run { .. }) && self.sends == 0 {
             request.limit = self.first_event_limit();
@@ -139,7 +151,37 @@
                 }
                 let service = self.service.name.clone();
                 let share = self.shared.hub.ask(move |node, now| node.limit_share(&service, now));
-                self.log_denial(search, &denial, share);
+                self.log_denial(search, &denial, share, None);
+                Err(denial)
+            }
+        }
+    }
+
+    /// Denies an attempt if a part of the prompt is quarantined, unless the request is the part's
+    /// trial.
+    fn check_quarantine(&mut self, search: Search) -> Result<(), Denial> {
+        let parts = self.shared_parts();
+        if parts.is_empty() || self.trial {
+            return Ok(());
+        }
+        let service = self.service.name.clone();
+        let check =
+            self.shared.hub.ask(move |node, now| node.check_quarantine(&service, &parts, now));
+        match check {
+            QuarantineCheck::Clear => Ok(()),
+            QuarantineCheck::Trial(part) => {
+                self.trial = true;
+                log_event!(self.shared.log, PART_TRIED, "part" => format!("{part:x}"),
+                    "request" => self.forwarded.id.as_deref());
+                Ok(())
+            }
+            QuarantineCheck::Denied(part) => {
+                metrics::counter!("agatestair_serve_quarantine_refusals_total").increment(1);
+                let denial = Denial {
+                    cause: DenialCause::Quarantined,
+                    retry_after: QUARANTINED_RETRY_AFTER,
+                };
+                self.log_denial(search, &denial, None, Some(part));
                 Err(denial)
             }
         }
@@ -151,10 +193,11 @@
         parts.flat_map(|(_, shared)| shared.iter().map(|part| part.id)).collect()
     }
 
-    fn log_denial(&self, search: Search, denial: &Denial, share: Option<f64>) {
+    fn log_denial(&self, search: Search, denial: &Denial, share: Option<f64>, part: Option<u64>) {
         log_event!(self.shared.log, NOT_PLACED, "request" => self.forwarded.id.as_deref(),
             "service" => &*self.service.name, "search" => search.label(),
-            "cause" => format!("{:?}", denial.cause), "share" => share, "version" => self.version,
+            "cause" => format!("{:?}", denial.cause), "share" => share,
+            "part" => part.map(|part| format!("{part:x}")), "version" => self.version,
             "back_ms" => denial.retry_after.as_millis() as u64,
             "aim_ms" => self.route.objective.as_millis() as u64,
             "left_ms" => self.remaining().as_millis() as u64, "sends" => self.sends);
@@ -255,7 +298,7 @@
 
     /// Whether the request may be sent again; spends one unit of the service's retry budget.
     pub fn may_send_again(&self) -> bool {
-        if self.sends >= MAX_SENDS || self.remaining().is_zero() {
+        if self.sends >= MAX_SENDS || self.crashes >= MAX_CRASHES || self.remaining().is_zero() {
             return false;
         }
         let service = self.service.name.clone();
@@ -282,6 +325,7 @@
         let cause = match denial.cause {
             DenialCause::NoEndpoint => "no endpoint takes work",
             DenialCause::TooLate => "no endpoint can answer in time",
+            DenialCause::Quarantined => "a part of the prompt crashes endpoints",
             DenialCause::Stopping => {
                 let (retry_after, cause) = (denial.retry_after, "the instance is shutting down");
                 if retry_after >= DEFAULT_RETRY_AFTER {
--- a/crates/serve/src/collection.rs
+++ b/crates/serve/src/collection.rs
@@ -208,7 +208,7 @@
 /// Whether a pulse is to be forwarded even if the state of its sender is known.
 fn has_news(pulse: &Pulse) -> bool {
     let limits = pulse.limits.as_ref().is_some_and(|limits| !limits.changes.is_empty());
-    limits || !pulse.reads.is_empty() || !pulse.leavers.is_empty()
+    limits || pulse.crashes.is_some() || !pulse.reads.is_empty() || !pulse.leavers.is_empty()
 }
 
 /// Merges a pulse into the pending one of its sender; the newer load of an endpoint wins.
@@ -217,7 +217,8 @@
         pulses.insert(pulse.sender, pulse);
         return;
     };
-    let Pulse { identity, ready, leaving, version, loads, reads, leavers, limits, .. } = pulse;
+    let Pulse { identity, ready, leaving, version, loads, reads, leavers, limits, crashes, .. } =
+        pulse;
     known.loads.retain(|old| loads.iter().all(|load| load.endpoint != old.endpoint));
     known.loads.extend(loads);
     let fresh: Vec<_> = reads.into_iter().filter(|read| !known.reads.contains(read)).collect();
@@ -227,6 +228,9 @@
     if let Some(limits) = limits {
         known.limits.get_or_insert_default().merge(limits);
     }
+    if let Some(crashes) = crashes {
+        known.crashes.get_or_insert_default().merge(crashes);
+    }
     known.identity = identity.or(known.identity.take());
     (known.ready, known.leaving, known.version) = (ready, leaving, version);
 }
--- a/crates/serve/src/crash.rs
+++ b/crates/serve/src/crash.rs
@@ -1,37 +1,57 @@
 //! Finds out whether a run broke because its endpoint's process crashed, and under which prompts.
 
 use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use agatestair_policy::QuarantineChange;
 use agatestair_runtime::log_event;
 
 use crate::attempt_guard::AttemptGuard;
 use crate::call::Call;
 use crate::connection::{Connection, ConnectionSettings};
-use crate::events::ENDPOINT_CRASHED;
+use crate::events::{ENDPOINT_CRASHED, PART_QUARANTINED, PART_RELEASED};
 use crate::reach::note_unreachable;
 use crate::shared::Shared;
 
 /// Longest time to find out whether a process still accepts connections.
 const CHECK_TIME: Duration = Duration::from_millis(50);
 
+/// Time after which an answer that has begun shows that its prompt does not crash the engine.
+const SURVIVED_AFTER: Duration = Duration::from_secs(1);
+
 /// Records a run that broke, in case its endpoint's process has crashed; `answering` is the time
 /// since its answer began.
 pub async fn note_broken(call: &mut Call, guard: &AttemptGuard, answering: Option<Duration>) {
     let shared = call.shared.clone();
-    let key = guard.placement.key;
+    let (key, process) = (guard.placement.key, guard.placement.process);
     if !shared.hub.ask(move |node, _| node.board.is_open(key)) {
         // It was about to exit, or is no longer listed.
         return;
     }
-    let Some(error) = refusal(&shared, guard).await else { return };
-    note_unreachable(&shared, &guard.placement, &error);
+    if !shared.hub.ask(move |node, _| node.quarantine.has_crashed(process)) {
+        let Some(error) = refusal(&shared, guard).await else { return };
+        note_unreachable(&shared, &guard.placement, &error);
+    }
     call.crashes += 1;
+    let survived = answering.is_some_and(|time| time >= SURVIVED_AFTER);
+    let (service, parts) = (call.service.name.clone(), call.shared_parts());
     metrics::counter!("agatestair_serve_crashed_runs_total").increment(1);
     log_event!(shared.log, ENDPOINT_CRASHED, "request" => call.forwarded.id.as_deref(),
-        "endpoint" => &*guard.placement.name, "parts" => list(&call.shared_parts()),
+        "endpoint" => &*guard.placement.name, "parts" => list(&parts), "survived" => survived,
         "answering_ms" => answering.map(|time| time.as_millis() as u64),
         "ms" => guard.elapsed().as_millis() as u64, "crashes" => call.crashes);
+    let changes = shared.hub.ask(move |node, now| {
+        let mut changes = Vec::new();
+        if survived {
+            changes.extend(node.note_survived(&service, &parts, now));
+        }
+        let suspects = if survived { Vec::new() } else { parts };
+        changes.extend(node.note_crash(process, &service, suspects, now));
+        changes
+    });
+    log_changes(&shared, &changes, None);
 }
 
 /// The error by which the endpoint's machine shows that no process listens any more.
@@ -46,6 +66,53 @@
     }
 }
 
+/// Records that a run survived.
+pub fn note_survived(call: &Call) {
+    let (service, parts) = (call.service.name.clone(), call.shared_parts());
+    if parts.is_empty() {
+        return;
+    }
+    let changes = call.shared.hub.ask(move |node, now| node.note_survived(&service, &parts, now));
+    log_changes(&call.shared, &changes, None);
+}
+
+/// Waits until a part of the request's prompt is quarantined.
+pub async fn until_quarantined(shared: Rc<Shared>, service: Arc<str>, parts: Vec<u64>) {
+    loop {
+        let changed = shared.quarantined.notified();
+        let (service, parts) = (service.clone(), parts.clone());
+        if shared.hub.ask(move |node, _| node.is_quarantined(&service, &parts)) {
+            return;
+        }
+        changed.await;
+    }
+}
+
+/// Logs changes of the quarantine, which another instance (`member`) or this one decided.
+pub fn log_changes(shared: &Shared, changes: &[QuarantineChange], member: Option<&str>) {
+    for change in changes {
+        match change {
+            QuarantineChange::Added(verdict) => {
+                metrics::counter!("agatestair_serve_quarantined_total").increment(1);
+                let service = verdict.part.service;
+                let service = shared.hub.ask(move |node, _| node.service_name(service));
+                log_event!(shared.log, PART_QUARANTINED, "part" => hex(verdict.part.part),
+                    "service" => service.as_deref(), "crashes" => verdict.crashes,
+                    "member" => member, "age_ms" => verdict.age.as_millis() as u64);
+                shared.quarantined.notify_waiters();
+            }
+            QuarantineChange::Released(part) => log_event!(shared.log, PART_RELEASED,
+                "part" => hex(part.part), "cause" => "a run survived", "member" => member),
+            QuarantineChange::Forgotten(part) => log_event!(shared.log, PART_RELEASED,
+                "part" => hex(part.part), "cause" => "no requests", "member" => member),
+        }
+    }
+}
+
 fn list(parts: &[u64]) -> String {
-    parts.iter().map(|part| format!("{part:x}")).collect::<Vec<String>>().join(",")
+    parts.iter().map(|part| hex(*part)).collect::<Vec<String>>().join(",")
+}
+
+fn hex(part: u64) -> String {
+    format!("{part:x}")
 }
--- a/crates/serve/src/datagram.rs
+++ b/crates/serve/src/datagram.rs
@@ -4,6 +4,10 @@
 use std::time::Duration;
 
 use agatestair_policy::board::{EndpointReport, LimitReport, Load};
+use agatestair_policy::{CrashReport, ProcessKey, ServicePart, Survival, Verdict};
+use bincode::de::Decoder;
+use bincode::enc::Encoder;
+use bincode::error::{DecodeError, EncodeError};
 use bincode::{Decode, Encode};
 
 use crate::cursor::TableUpdate;
@@ -21,7 +25,7 @@
 const RATE_SCALE: f64 = 1000.0;
 
 /// Version of the layout, the first byte of a datagram; datagrams with another one are rejected.
-const LAYOUT: u8 = 4;
+const LAYOUT: u8 = 5;
 
 /// One datagram.
 #[derive(Clone, Debug, Decode, Encode, PartialEq)]
@@ -168,7 +172,7 @@
 }
 
 /// State and load of an instance.
-#[derive(Clone, Debug, Decode, Encode, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Pulse {
     /// Hash of the instance's name.
     pub sender: u64,
@@ -188,8 +192,62 @@
     pub leavers: Vec<(u64, u64)>,
     /// Rate limits of endpoints; omitted if there is nothing to report.
     pub limits: Option<PulseLimits>,
+    /// Crashes of endpoints; omitted if there is nothing to report.
+    pub crashes: Option<PulseCrashes>,
+}
+
+/// Bits of the byte that tells which parts of a pulse follow.
+mod part {
+    pub const READY: u8 = 1;
+    pub const LEAVING: u8 = 2;
+    pub const LIMITS: u8 = 4;
+    pub const CRASHES: u8 = 8;
+}
+
+impl Encode for Pulse {
+    // One byte for all flags: a collector sends hundreds of pulses in one round.
+    fn encode<E: Encoder>(&self, encoder: &mut E) -> Result<(), EncodeError> {
+        let bits = [
+            (self.ready, part::READY),
+            (self.leaving, part::LEAVING),
+            (self.limits.is_some(), part::LIMITS),
+            (self.crashes.is_some(), part::CRASHES),
+        ];
+        let flags = bits.iter().filter(|(set, _)| *set).fold(0, |flags, (_, bit)| flags | bit);
+        (flags, self.sender, &self.identity, self.version).encode(encoder)?;
+        (&self.loads, &self.reads, &self.leavers).encode(encoder)?;
+        self.limits.as_ref().map_or(Ok(()), |limits| limits.encode(encoder))?;
+        self.crashes.as_ref().map_or(Ok(()), |crashes| crashes.encode(encoder))
+    }
+}
+
+impl<Context> Decode<Context> for Pulse {
+    fn decode<D: Decoder<Context = Context>>(decoder: &mut D) -> Result<Self, DecodeError> {
+        let (flags, sender, identity, version) =
+            <(u8, u64, Option<Identity>, u64)>::decode(decoder)?;
+        let loads = Vec::decode(decoder)?;
+        let reads = Vec::decode(decoder)?;
+        let leavers = Vec::decode(decoder)?;
+        let limits = (flags & part::LIMITS != 0).then(|| PulseLimits::decode(decoder));
+        let limits = limits.transpose()?;
+        let crashes = (flags & part::CRASHES != 0).then(|| PulseCrashes::decode(decoder));
+        Ok(Self {
+            sender,
+            identity,
+            ready: flags & part::READY != 0,
+            leaving: flags & part::LEAVING != 0,
+            version,
+            loads,
+            reads,
+            leavers,
+            limits,
+            crashes: crashes.transpose()?,
+        })
+    }
 }
 
+bincode::impl_borrow_decode!(Pulse);
+
 /// What a pulse reports about rate limits of endpoints.
 #[derive(Clone, Debug, Decode, Default, Encode, PartialEq)]
 pub struct PulseLimits {
@@ -252,6 +310,148 @@
     }
 }
 
+/// What a pulse reports about crashes of endpoints and the prompt parts that cause them.
+#[derive(Clone, Debug, Decode, Default, Encode, PartialEq)]
+pub struct PulseCrashes {
+    /// Crashes that the sender observed.
+    pub crashes: Vec<PulseCrash>,
+    /// Quarantined parts.
+    pub verdicts: Vec<PulseVerdict>,
+    /// Runs with suspected parts that survived.
+    pub survivals: Vec<PulseSurvival>,
+}
+
+impl PulseCrashes {
+    /// Whether there is nothing to report.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.verdicts.is_empty() && self.survivals.is_empty()
+    }
+
+    /// Adds a later report of the same instance.
+    pub fn merge(&mut self, later: Self) {
+        let Self { crashes, verdicts, survivals } = later;
+        let process = |crash: &PulseCrash| (crash.endpoint, crash.born);
+        let part = |verdict: &PulseVerdict| (verdict.service, verdict.part);
+        self.crashes.retain(|old| crashes.iter().all(|new| process(new) != process(old)));
+        self.crashes.extend(crashes);
+        self.verdicts.retain(|old| verdicts.iter().all(|new| part(new) != part(old)));
+        self.verdicts.extend(verdicts);
+        let part = |survival: &PulseSurvival| (survival.service, survival.part);
+        self.survivals.retain(|old| survivals.iter().all(|new| part(new) != part(old)));
+        self.survivals.extend(survivals);
+    }
+}
+
+/// A crash of an endpoint, see [`CrashReport`].
+#[derive(Clone, Debug, Decode, Encode, PartialEq)]
+pub struct PulseCrash {
+    /// Hash of the endpoint's name.
+    pub endpoint: u64,
+    /// Start time of the endpoint's process in Unix milliseconds.
+    pub born: u64,
+    /// Hash of the name of its service.
+    pub service: u64,
+    /// Time since the crash in milliseconds.
+    pub age_ms: u32,
+    /// Parts of the prompts whose answers were beginning.
+    pub suspects: Vec<u64>,
+}
+
+impl From<CrashReport> for PulseCrash {
+    fn from(report: CrashReport) -> Self {
+        Self {
+            endpoint: report.process.endpoint,
+            born: report.process.born,
+            service: report.service,
+            age_ms: millis(report.age),
+            suspects: report.suspects,
+        }
+    }
+}
+
+impl From<PulseCrash> for CrashReport {
+    fn from(crash: PulseCrash) -> Self {
+        Self {
+            process: ProcessKey { endpoint: crash.endpoint, born: crash.born },
+            service: crash.service,
+            age: Duration::from_millis(crash.age_ms.into()),
+            suspects: crash.suspects,
+        }
+    }
+}
+
+/// A quarantined prompt part, see [`Verdict`].
+#[derive(Clone, Copy, Debug, Decode, Encode, PartialEq)]
+pub struct PulseVerdict {
+    /// Hash of the service's name.
+    pub service: u64,
+    /// Identifier of the part.
+    pub part: u64,
+    /// Time since it was quarantined, in milliseconds.
+    pub age_ms: u32,
+    /// Time since the last request with it, in milliseconds.
+    pub seen_ms: u32,
+    /// Crashes that it explains.
+    pub crashes: u32,
+}
+
+impl From<Verdict> for PulseVerdict {
+    fn from(verdict: Verdict) -> Self {
+        Self {
+            service: verdict.part.service,
+            part: verdict.part.part,
+            age_ms: millis(verdict.age),
+            seen_ms: millis(verdict.seen),
+            crashes: verdict.crashes,
+        }
+    }
+}
+
+impl From<PulseVerdict> for Verdict {
+    fn from(verdict: PulseVerdict) -> Self {
+        Self {
+            part: ServicePart { service: verdict.service, part: verdict.part },
+            age: Duration::from_millis(verdict.age_ms.into()),
+            seen: Duration::from_millis(verdict.seen_ms.into()),
+            crashes: verdict.crashes,
+        }
+    }
+}
+
+/// A run with a suspected prompt part that survived, see [`Survival`].
+#[derive(Clone, Copy, Debug, Decode, Encode, PartialEq)]
+pub struct PulseSurvival {
+    /// Hash of the service's name.
+    pub service: u64,
+    /// Identifier of the part.
+    pub part: u64,
+    /// Time since then in milliseconds.
+    pub age_ms: u32,
+}
+
+impl From<Survival> for PulseSurvival {
+    fn from(survival: Survival) -> Self {
+        Self {
+            service: survival.part.service,
+            part: survival.part.part,
+            age_ms: millis(survival.age),
+        }
+    }
+}
+
+impl From<PulseSurvival> for Survival {
+    fn from(survival: PulseSurvival) -> Self {
+        Self {
+            part: ServicePart { service: survival.service, part: survival.part },
+            age: Duration::from_millis(survival.age_ms.into()),
+        }
+    }
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Reports that a collector forwards to its own failure domain or to the collectors of others.
 #[derive(Clone, Debug, Decode, Encode, PartialEq)]
 pub struct Digest {
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -127,6 +127,15 @@
 /// A run broke because its endpoint's process crashed.
 pub const ENDPOINT_CRASHED: Event =
     Event { number: 5046, level: Level::Warning, text: "endpoint crashed during a run" };
+/// A part of prompts crashes endpoints; requests with it are refused.
+pub const PART_QUARANTINED: Event =
+    Event { number: 5047, level: Level::Warning, text: "prompt part quarantined" };
+/// A request with a quarantined part is sent as a trial.
+pub const PART_TRIED: Event =
+    Event { number: 5049, level: Level::Info, text: "quarantined prompt part tried" };
+/// A part of prompts is no longer quarantined.
+pub const PART_RELEASED: Event =
+    Event { number: 5048, level: Level::Info, text: "prompt part released" };
 /// All events of this crate.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -172,4 +181,7 @@
     ATTEMPT_WITHHELD,
     REQUEST_CUT,
     ENDPOINT_CRASHED,
+    PART_QUARANTINED,
+    PART_RELEASED,
+    PART_TRIED,
 ];
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -15,7 +15,7 @@
 use crate::body::ResponseBody;
 use crate::call::{Call, after_failure};
 use crate::connection::request_once;
-use crate::crash::note_broken;
+use crate::crash::{note_broken, until_quarantined};
 use crate::events::HANDLE_NOT_FREED;
 use crate::node::Search;
 use crate::reach::until_unreachable;
@@ -177,16 +177,22 @@
     let retryable = call.route.kind.may_repeat() && call.runs + 1 < call.route.attempts;
     let cutoff = if retryable { (Instant::now() + time_limit).min(deadline) } else { deadline };
     let (shared, probe_delay) = (call.shared.clone(), probe_delay(guard));
+    let quarantined =
+        until_quarantined(shared.clone(), call.service.name.clone(), call.shared_parts());
+    let trial = call.trial;
     let sent = async {
         tokio::select! {
-            sent = call.send(guard, phase, None) => sent,
+            sent = call.send(guard, phase, None) => Ok(sent),
+            () = quarantined, if !trial => {
+                Err(Failure::MayHaveRun("a part of the prompt crashes endpoints".to_owned()))
+            }
             () = until_unreachable(&shared, &guard.placement, probe_delay), if retryable => {
-                unreachable_outcome()
+                Ok(unreachable_outcome())
             }
         }
     };
     match timeout_at(cutoff, sent).await {
-        Ok(sent) => Ok(sent),
+        Ok(sent) => sent,
         Err(_) if cutoff < deadline => Ok(SendOutcome::Unknown("no answer in time".to_owned())),
         Err(_) => {
             call.note_duration();
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -153,6 +153,7 @@
         begun: None,
         answering: false,
         crashes: 0,
+        trial: false,
         passed_on,
     };
     let (service, matched) = (call.service.name.clone(), route.clone());
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -62,7 +62,8 @@
 pub use cursor::{Cursor, TableUpdate};
 pub use datagram::{
     Bulletin, BulletinTable, BulletinUpdate, Datagram, Digest, DomainSums, Identity, Pulse,
-    PulseLimit, PulseLimits, PulseLoad, TableState,
+    PulseCrash, PulseCrashes, PulseLimit, PulseLimits, PulseLoad, PulseSurvival, PulseVerdict,
+    TableState,
 };
 pub use endpoint_list::EndpointList;
 pub use explain::explain;
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -301,6 +301,13 @@
         others.filter(|(key, _)| score(endpoint, **key) > own_score).count() < CACHE_QUERIERS
     }
 
+    /// Whether this instance alone acts for all others on an item with this hash.
+    pub fn is_first(&self, own: &str, item: u64, now: Moment) -> bool {
+        let own_score = score(item, name_hash(own));
+        let others = self.known.iter().filter(|(_, known)| known.is_candidate(now));
+        others.map(|(key, _)| score(item, *key)).all(|other| other < own_score)
+    }
+
     /// Whether the fleet is large enough for a few instances to act for all others.
     pub fn is_large(&self) -> bool {
         self.known.len() >= LARGE_FLEET
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -1,6 +1,7 @@
 //! State of one instance and the decisions that depend on it.
 
 mod budgets;
+mod crashes;
 mod gossip;
 mod limits;
 mod stopping;
@@ -18,7 +19,9 @@
     Board, BoardEndpoint, BoardSettings, Choice, Denial, DenialCause, EndpointFacts, Load,
     PlacementRequest, PromptPart, Stage,
 };
-use agatestair_policy::{Durations, EndpointKey, Moment, RetryBudget, RetrySettings};
+use agatestair_policy::{
+    Durations, EndpointKey, Moment, ProcessKey, Quarantine, RetryBudget, RetrySettings,
+};
 use stakker::CX;
 
 use crate::collection::Collection;
@@ -83,6 +86,8 @@
     pub name: Arc<str>,
     /// Address of the endpoint.
     pub address: SocketAddr,
+    /// Process of the endpoint.
+    pub process: ProcessKey,
     /// Load that the attempt adds to the endpoint.
     pub load: Load,
     /// Expected time to the first event.
@@ -160,6 +165,8 @@
     pub collectors: Collectors,
     /// Bandwidth that is left for rows in bulletins.
     pub bulletin_bucket: TokenBucket,
+    /// Prompt parts that crash endpoints.
+    pub quarantine: Quarantine,
     /// Reports that this instance has collected and not yet forwarded.
     pub collection: Collection,
     /// Hash of this instance's name.
@@ -170,7 +177,7 @@
     endpoints: Cursor,
     budgets: HashMap<Arc<str>, RetryBudget>,
     sharing: Sharing,
-    /// When this instance starts, or last started, to report the limits in force.
+    /// When this instance starts, or last started, to report what holds for long.
     standing_from: Moment,
     sent_parts: VecDeque<SentPart>,
     /// When the process exits, if this instance is shutting down.
@@ -200,6 +207,7 @@
             watchers: Watchers::default(),
             collectors: Collectors::default(),
             bulletin_bucket: TokenBucket::default(),
+            quarantine: Quarantine::default(),
             collection: Collection::default(),
             name_hash: name_hash(&settings.own.name),
             domain: name_hash(&settings.own.domain),
@@ -442,6 +450,7 @@
             key: choice.key,
             name: endpoint.facts.name.clone(),
             address: endpoint.facts.address,
+            process: ProcessKey { endpoint: endpoint.name_hash, born: endpoint.facts.born },
             load: choice.load,
             expected: choice.expected,
             nominal: choice.nominal,
--- /dev/null
+++ b/crates/serve/src/node/crashes.rs
@@ -0,0 +1,118 @@
+//! Crashes of endpoints and the quarantine of prompt parts, which all instances share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatestair_policy::assign::name_hash;
+use agatestair_policy::{
+    CrashReport, Moment, ProcessKey, QuarantineChange, QuarantineCheck, Survival, Verdict,
+};
+
+use crate::datagram::{PulseCrash, PulseCrashes, PulseSurvival, PulseVerdict};
+use crate::node::Node;
+
+/// Time for which datagrams repeat reports: three rounds, since some datagrams may be lost.
+const REPEAT: Duration = Duration::from_millis(120);
+
+/// Largest number of suspects in a datagram.
+const MAX_SUSPECTS: usize = 128;
+
+/// Largest number of verdicts, and of survivals, in a datagram.
+const MAX_REPORTS: usize = 32;
+
+impl Node {
+    /// Records a crash that this instance observed.
+    pub fn note_crash(
+        &mut self,
+        process: ProcessKey,
+        service: &str,
+        suspects: Vec<u64>,
+        now: Moment,
+    ) -> Vec<QuarantineChange> {
+        let service = name_hash(service);
+        let report = CrashReport { process, service, age: Duration::ZERO, suspects };
+        self.quarantine.note_crash(&report, now)
+    }
+
+    /// Records that a run with these parts in its prompt survived.
+    pub fn note_survived(
+        &mut self,
+        service: &str,
+        parts: &[u64],
+        now: Moment,
+    ) -> Vec<QuarantineChange> {
+        self.quarantine.note_survived(name_hash(service), parts.iter().copied(), now)
+    }
+
+    /// Whether a request with these parts in its prompt may be sent.
+    pub fn check_quarantine(
+        &mut self,
+        service: &str,
+        parts: &[u64],
+        now: Moment,
+    ) -> QuarantineCheck {
+        let (own, members) = (&self.settings.own.name, &self.members);
+        let elected = |part| members.is_first(own, part, now);
+        self.quarantine.check(name_hash(service), parts.iter().copied(), elected, now)
+    }
+
+    /// Whether one of these parts is quarantined.
+    pub fn is_quarantined(&self, service: &str, parts: &[u64]) -> bool {
+        self.quarantine.contains(name_hash(service), parts.iter().copied())
+    }
+
+    /// Name of the service with this hash, if it is configured.
+    pub fn service_name(&self, hash: u64) -> Option<Arc<str>> {
+        let services = self.configuration.iter().flat_map(|known| known.services.keys());
+        services.into_iter().find(|name| name_hash(name) == hash).cloned()
+    }
+
+    /// What to report about crashes to other instances.
+    pub(super) fn pulse_crashes(&self, now: Moment) -> Option<PulseCrashes> {
+        let quarantine = &self.quarantine;
+        let mut room = MAX_SUSPECTS;
+        let crashes = quarantine.crash_reports(REPEAT, now).into_iter().filter(|report| {
+            let fits = report.suspects.len() <= room;
+            room -= if fits { report.suspects.len() } else { 0 };
+            fits
+        });
+        let crashes = crashes.map(PulseCrash::from).collect();
+        let mut verdicts = quarantine.recent_verdicts(REPEAT, now);
+        if self.is_standing(REPEAT, now) {
+            let own = &self.settings.own.name;
+            let all = quarantine.all_verdicts(now).into_iter();
+            let reported =
+                all.filter(|verdict| self.members.should_query(own, verdict.part.part, now));
+            verdicts.extend(reported);
+        }
+        let verdicts = verdicts.into_iter().take(MAX_REPORTS).map(PulseVerdict::from).collect();
+        let survivals = quarantine.survivals(REPEAT, now).into_iter();
+        let survivals = survivals.take(MAX_REPORTS).map(PulseSurvival::from).collect();
+        let news = PulseCrashes { crashes, verdicts, survivals };
+        Some(news).filter(|news| !news.is_empty())
+    }
+
+    /// Records what another instance reports about crashes.
+    pub(super) fn note_peer_crashes(
+        &mut self,
+        news: &PulseCrashes,
+        now: Moment,
+    ) -> Vec<QuarantineChange> {
+        let mut changes = Vec::new();
+        for survival in &news.survivals {
+            changes.extend(self.quarantine.note_peer_survival(Survival::from(*survival), now));
+        }
+        for verdict in &news.verdicts {
+            changes.extend(self.quarantine.note_peer_verdict(Verdict::from(*verdict), now));
+        }
+        for crash in &news.crashes {
+            let report = CrashReport::from(crash.clone());
+            let (own, members) = (&self.settings.own.name, &self.members);
+            let elected = |part| members.should_query(own, part, now);
+            // The sender would not have sent the request if it knew of the verdict.
+            self.quarantine.report_again(report.service, &report.suspects, elected, now);
+            changes.extend(self.quarantine.note_peer_crash(&report, now));
+        }
+        changes
+    }
+}
--- a/crates/serve/src/node/gossip.rs
+++ b/crates/serve/src/node/gossip.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use agatestair_policy::board::{EndpointReport, PromptPart};
-use agatestair_policy::{EndpointKey, Moment};
+use agatestair_policy::{EndpointKey, Moment, QuarantineChange};
 
 use crate::datagram::{Digest, DomainSums, Pulse, PulseLoad};
 use crate::members::{Group, Member, MemberState};
@@ -27,6 +27,8 @@
     pub leavers: Vec<Arc<str>>,
     /// Rate limits that are newly known.
     pub limits: Vec<LimitChange>,
+    /// Changes of the quarantine of prompt parts.
+    pub quarantine: Vec<QuarantineChange>,
     /// Name of the sender.
     pub sender: Option<Arc<str>>,
 }
@@ -59,6 +61,7 @@
             reads: Vec::new(),
             leavers: self.board.recent_leavers(LEAVERS_REPEAT, now),
             limits: self.pulse_limits(now),
+            crashes: self.pulse_crashes(now),
         }
     }
 
@@ -82,13 +85,17 @@
         let limits = pulse.limits.as_ref();
         let limits = limits.map(|limits| self.note_peer_limits(pulse.sender, limits, now));
         let limits = limits.unwrap_or_default();
+        let crashes = pulse.crashes.as_ref();
+        let quarantine = crashes.map(|news| self.note_peer_crashes(news, now)).unwrap_or_default();
         let state = MemberState { ready: pulse.ready, leaving: pulse.leaving };
         let changed = match pulse.identity.clone() {
             Some(identity) => self.members.note_heard(Member::from(identity), state, now),
             // An unknown sender without identity is ignored; its identity is sent again soon.
             None => match self.members.note_alive(pulse.sender, state, now) {
                 Some(changed) => changed,
-                None => return PulseChanges { leavers, limits, ..PulseChanges::default() },
+                None => {
+                    return PulseChanges { leavers, limits, quarantine, ..PulseChanges::default() };
+                }
             },
         };
         let loads: Vec<EndpointReport> =
@@ -101,6 +108,7 @@
             behind: newer && !self.members.is_large(),
             leavers,
             limits,
+            quarantine,
             sender,
         }
     }
--- a/crates/serve/src/node/limits.rs
+++ b/crates/serve/src/node/limits.rs
@@ -65,7 +65,7 @@
     /// What to report about rate limits to other instances.
     pub(super) fn pulse_limits(&self, now: Moment) -> Option<PulseLimits> {
         let mut reports = self.board.limit_reports(LIMITS_REPEAT, now);
-        if now >= self.standing_from && now.since(self.standing_from) < LIMITS_REPEAT {
+        if self.is_standing(LIMITS_REPEAT, now) {
             reports.extend(self.standing_limits(now));
         }
         let changes = reports.into_iter().take(MAX_LIMITS).map(PulseLimit::from).collect();
@@ -73,7 +73,12 @@
         Some(limits).filter(|limits| !limits.is_empty())
     }
 
-    /// Schedules a report of the limits in force, since an instance was heard that may lack them.
+    /// Whether what holds for long is to be reported now, for `within`.
+    pub(super) fn is_standing(&self, within: Duration, now: Moment) -> bool {
+        now >= self.standing_from && now.since(self.standing_from) < within
+    }
+
+    /// Schedules a report of what holds for long, since an instance was heard that may lack them.
     pub(super) fn schedule_standing_limits(&mut self, now: Moment) {
         if now.since(self.standing_from) >= STANDING_INTERVAL {
             self.standing_from = now;
--- a/crates/serve/src/pulse.rs
+++ b/crates/serve/src/pulse.rs
@@ -16,6 +16,7 @@
 
 use crate::bulletins::handle_bulletin;
 use crate::collectors::REPORT_CLEARED;
+use crate::crash::log_changes;
 use crate::datagram::{Datagram, Digest, MAX_BYTES, Pulse};
 use crate::events::{
     DATAGRAM_MALFORMED, DATAGRAM_NOT_SENT, ENDPOINT_LEAVING, ENDPOINT_LIMITED, MEMBER_CHANGED,
@@ -242,6 +243,7 @@
             "rate" => limit.rate, "source" => "datagram", "member" => changes.sender.as_deref(),
             "age_ms" => limit.age.as_millis() as u64);
     }
+    log_changes(shared, &changes.quarantine, changes.sender.as_deref());
     if changes.behind {
         shared.wakeups.notify(Table::Configuration);
     }
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -15,7 +15,7 @@
 use crate::buffer_limit::BufferGuard;
 use crate::call::Call;
 use crate::connection::Connection;
-use crate::crash::note_broken;
+use crate::crash::{note_broken, note_survived};
 use crate::events::{ATTEMPT_FAILED, RESUMED, STREAMED};
 use crate::node::Search;
 use crate::reach::until_unreachable;
@@ -151,6 +151,9 @@
 
 fn log_complete(call: &Call, guard: &AttemptGuard, events: &EventSplitter) {
     call.note_duration();
+    if events.events > 0 {
+        note_survived(call);
+    }
     metrics::counter!("agatestair_serve_streams_total", "end" => "complete").increment(1);
     log_event!(call.shared.log, STREAMED, "request" => call.forwarded.id.as_deref(),
         "endpoint" => &*guard.placement.name, "events" => events.events,
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -23,6 +23,7 @@
 use crate::buffer_limit::BufferLimit;
 use crate::bulletins::send_bulletins;
 use crate::cache_query::query_caches;
+use crate::crash::log_changes;
 use crate::digests::send_digests;
 use crate::events::{MEMBER_CHANGED, ROW_MALFORMED, ROW_WRITE_FAILED, STARTED, TASK_FAILED};
 use crate::hub::Hub;
@@ -182,6 +183,7 @@
         table_updates: Outbox::default(),
         urgent: Notify::new(),
         wakeups: TableWakeups::default(),
+        quarantined: Notify::new(),
         leaving: CancellationToken::new(),
         closing: CancellationToken::new(),
         ending: CancellationToken::new(),
@@ -344,6 +346,8 @@
     loop {
         sleep(SWEEP).await;
         shared.pool.sweep();
+        let changes = shared.hub.ask(|node, now| node.quarantine.expire(now));
+        log_changes(&shared, &changes, None);
         metrics::gauge!("agatestair_serve_open").set(shared.open.len() as f64);
     }
 }
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -70,6 +70,8 @@
     pub urgent: Notify,
     /// Signals that another instance has a newer version of a table.
     pub wakeups: TableWakeups,
+    /// Wakes requests in progress when a prompt part is quarantined.
+    pub quarantined: Notify,
     /// Cancelled when the instance starts to shut down.
     pub leaving: CancellationToken,
     /// Cancelled to close callers' connections once they are idle, and to accept no more.
--- a/crates/serve/tests/components.rs
+++ b/crates/serve/tests/components.rs
@@ -367,6 +367,7 @@
         weight: 250,
     };
     Pulse {
+        crashes: None,
         sender: 4,
         identity: Some(identity),
         ready: true,
