Open requests count for the duration of their route

Change: if a request of the route is open for longer than any took, the duration counts as unknown and the deadline is the bound.

--- a/crates/policy/src/durations.rs
+++ b/crates/policy/src/durations.rs
@@ -57,10 +57,19 @@
     }
 
     /// Bound on the duration of a request, unless it is an outlier; `modelled` is the duration that
-    /// a model of the endpoints gives, if there is one. `None` without enough recent observations.
-    pub fn bound(&self, modelled: Option<Duration>, now: Moment) -> Option<Duration> {
+    /// a model of the endpoints gives, if there is one, and `open` the age of the oldest open
+    /// request. `None` without enough recent observations, or if they don't cover that age.
+    pub fn bound(
+        &self,
+        modelled: Option<Duration>,
+        open: Duration,
+        now: Moment,
+    ) -> Option<Duration> {
         let Self { current, previous, .. } = self.at(now);
         let known = current.merge(previous);
+        if open > known.longest {
+            return None;
+        }
         let spread = if known.count < MIN_COUNT { FEW_SPREAD } else { SPREAD };
         let observed = Some(known.longest.mul_f64(spread)).filter(|_| known.count >= FEW_COUNT);
         let modelled = modelled.map(|modelled| modelled.mul_f64(SPREAD) + known.excess);
--- a/crates/policy/tests/durations.rs
+++ b/crates/policy/tests/durations.rs
@@ -12,18 +12,28 @@
     /// Seconds between two observations, and after the last one.
     interval: u64,
     modelled: Option<u64>,
+    /// Age of the oldest open request in milliseconds.
+    open: u64,
     bound: Option<u64>,
 }
 
 #[gtest]
 fn the_bound_follows_the_model_and_experience() {
     let cases = [
-        Case { name: "unknown", observed: vec![], interval: 0, modelled: None, bound: None },
+        Case {
+            name: "unknown",
+            observed: vec![],
+            interval: 0,
+            modelled: None,
+            open: 0,
+            bound: None,
+        },
         Case {
             name: "unknown, with a model",
             observed: vec![],
             interval: 0,
             modelled: Some(100),
+            open: 0,
             bound: None,
         },
         Case {
@@ -31,6 +41,7 @@
             observed: vec![(60, 100)],
             interval: 1,
             modelled: None,
+            open: 0,
             bound: None,
         },
         Case {
@@ -38,6 +49,7 @@
             observed: vec![(60, 100), (60, 2500), (60, 90)],
             interval: 1,
             modelled: None,
+            open: 0,
             bound: Some(3750),
         },
         Case {
@@ -45,6 +57,7 @@
             observed: [(60, 2500)].repeat(8),
             interval: 15,
             modelled: None,
+            open: 0,
             bound: Some(3750),
         },
         Case {
@@ -52,6 +65,7 @@
             observed: [(60, 2500)].repeat(8),
             interval: 45,
             modelled: None,
+            open: 0,
             bound: None,
         },
         Case {
@@ -59,13 +73,23 @@
             observed: [(60, 2000), (60, 100)].repeat(20),
             interval: 1,
             modelled: None,
+            open: 0,
             bound: Some(2500),
         },
+        Case {
+            name: "a request is open for longer than any took",
+            observed: [(60, 2000), (60, 100)].repeat(20),
+            interval: 1,
+            modelled: None,
+            open: 2100,
+            bound: None,
+        },
         Case {
             name: "longer than the model says",
             observed: [(1000, 3000)].repeat(4),
             interval: 1,
             modelled: Some(1000),
+            open: 0,
             bound: Some(4500),
         },
         Case {
@@ -73,6 +97,7 @@
             observed: [(4000, 1000)].repeat(40),
             interval: 1,
             modelled: Some(4000),
+            open: 0,
             bound: Some(1250),
         },
         Case {
@@ -80,6 +105,7 @@
             observed: [(4000, 1000)].repeat(4),
             interval: 1,
             modelled: Some(4000),
+            open: 0,
             bound: Some(5000),
         },
         Case {
@@ -87,6 +113,7 @@
             observed: [(4000, 1000)].repeat(40),
             interval: 130,
             modelled: Some(4000),
+            open: 0,
             bound: None,
         },
     ];
@@ -98,7 +125,7 @@
             durations.note(ms(*expected), ms(*real), now);
             now = now + Duration::from_secs(case.interval);
         }
-        let bound = durations.bound(case.modelled.map(ms), now);
+        let bound = durations.bound(case.modelled.map(ms), ms(case.open), now);
         let bound = bound.map(|bound| bound.as_millis());
         expect_that!(bound, eq(case.bound.map(u128::from)), "{}", case.name);
     }
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -16,7 +16,7 @@
 use crate::events::{
     ATTEMPT_FAILED, ATTEMPT_WITHHELD, ENDPOINT_EJECTED, NOT_PLACED, PART_TRIED, PLACED,
 };
-use crate::node::{Backup, Placement, Search};
+use crate::node::{Backup, BegunKey, Placement, Search};
 use crate::response::{DEFAULT_RETRY_AFTER, Failure, not_run, not_run_within};
 use crate::send::{ForwardedRequest, SendOutcome, send};
 use crate::shared::Shared;
@@ -71,8 +71,8 @@
     pub not_sent: u32,
     /// Engine that replicates the KV cache of the current run.
     pub backup: Option<Backup>,
-    /// When the first attempt was placed, and how long it was expected to take.
-    pub begun: Option<(Instant, Option<Duration>)>,
+    /// The first attempt that was placed.
+    pub begun: Option<Begun>,
     /// Whether the response to the caller has begun.
     pub answering: bool,
     /// Endpoints that crashed during a run of the request.
@@ -83,6 +83,31 @@
     pub passed_on: Rc<Cell<bool>>,
 }
 
+/// Counts a request with a placed attempt until it is dropped.
+pub struct Begun {
+    shared: Rc<Shared>,
+    key: BegunKey,
+    /// When the first attempt was placed.
+    at: Instant,
+    /// How long it was expected to take, if there is a model of it.
+    expected: Option<Duration>,
+}
+
+impl Begun {
+    fn new(call: &Call, expected: Option<Duration>) -> Self {
+        let (route, service) = (call.route.name.clone(), call.service.name.clone());
+        let key = call.shared.hub.ask(move |node, now| node.begin_request(&route, &service, now));
+        Self { shared: call.shared.clone(), key, at: Instant::now(), expected }
+    }
+}
+
+impl Drop for Begun {
+    fn drop(&mut self) {
+        let key = self.key;
+        self.shared.hub.ask(move |node, _| node.end_request(key));
+    }
+}
+
 impl Call {
     /// Builds the placement request of this request.
     pub fn placement_request(&self) -> PlacementRequest {
@@ -134,7 +159,8 @@
             request.max_wait = self.route.objective.mul_f64(SLACK_FACTOR);
         }
         if self.answering || matches!(search, Search::Decode(_) | Search::Copy(_)) {
-            request.elapsed = self.begun.map(|(begun, _)| begun.elapsed()).unwrap_or_default();
+            request.elapsed =
+                self.begun.as_ref().map(|begun| begun.at.elapsed()).unwrap_or_default();
         }
         let connections = self.service.connections;
         let placement =
@@ -142,7 +168,9 @@
         match placement {
             Ok(placement) => {
                 self.log_placement(search, &placement);
-                self.begun.get_or_insert_with(|| (Instant::now(), placement.duration));
+                if self.begun.is_none() {
+                    self.begun = Some(Begun::new(self, placement.duration));
+                }
                 Ok(AttemptGuard::new(self.shared.clone(), placement))
             }
             Err(denial) => {
@@ -263,9 +291,9 @@
 
     /// Records the duration of a request that was answered completely or has timed out.
     pub fn note_duration(&self) {
-        let Some((begun, expected)) = self.begun else { return };
+        let Some(begun) = &self.begun else { return };
         let (route, service) = (self.route.name.clone(), self.service.name.clone());
-        let durations = [expected.unwrap_or_default(), begun.elapsed()];
+        let durations = [begun.expected.unwrap_or_default(), begun.at.elapsed()];
         self.shared.hub.ask(move |node, now| node.note_duration(&route, &service, durations, now));
     }
 
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -8,6 +8,7 @@
 
 pub use gossip::PulseChanges;
 pub use limits::LimitChange;
+pub use stopping::BegunKey;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
 use agatestair_policy::{
     Durations, EndpointKey, Moment, ProcessKey, Quarantine, RetryBudget, RetrySettings,
 };
+use slotmap::SlotMap;
 use stakker::CX;
 
 use crate::collection::Collection;
@@ -182,6 +184,8 @@
     sent_parts: VecDeque<SentPart>,
     /// When the process exits, if this instance is shutting down.
     stops_at: Option<Moment>,
+    /// Requests with a placed attempt, and when the first one was placed.
+    begun: SlotMap<BegunKey, (RouteService, Moment)>,
     /// Durations of requests, by route and service.
     durations: HashMap<RouteService, Durations>,
 }
@@ -218,6 +222,7 @@
             standing_from: Moment(0),
             sent_parts: VecDeque::new(),
             stops_at: None,
+            begun: SlotMap::with_key(),
             durations: HashMap::new(),
             settings,
         }
--- a/crates/serve/src/node/stopping.rs
+++ b/crates/serve/src/node/stopping.rs
@@ -5,6 +5,7 @@
 
 use agatestair_policy::Moment;
 use agatestair_policy::board::{Denial, DenialCause, PlacementRequest};
+use slotmap::new_key_type;
 
 use crate::node::Node;
 use crate::response::DEFAULT_RETRY_AFTER;
@@ -16,6 +17,11 @@
 /// Time after which a caller should return if other instances are ready: they can serve it at once.
 const OTHERS_RETRY_AFTER: Duration = Duration::from_millis(10);
 
+new_key_type! {
+    /// Key of a request whose first attempt was placed.
+    pub struct BegunKey;
+}
+
 impl Node {
     /// Starts the shutdown; the process exits at `end`, whether or not requests are open.
     pub fn begin_shutdown(&mut self, end: Moment) {
@@ -46,6 +52,16 @@
         known.note(expected, real, now);
     }
 
+    /// Records that the first attempt of a request was placed.
+    pub fn begin_request(&mut self, route: &Arc<str>, service: &Arc<str>, now: Moment) -> BegunKey {
+        self.begun.insert(((route.clone(), service.clone()), now))
+    }
+
+    /// Records that a request has ended.
+    pub fn end_request(&mut self, key: BegunKey) {
+        self.begun.remove(key);
+    }
+
     /// Denies an attempt that may not end before the process exits; `modelled` is its duration as
     /// the model of the engines gives it. On routes without experience a request may last until
     /// its deadline.
@@ -56,8 +72,11 @@
         now: Moment,
     ) -> Result<(), Denial> {
         let Some(end) = self.stops_at else { return Ok(()) };
-        let known = self.durations.get(&(request.route.clone(), request.service.clone()));
-        let bound = known.and_then(|known| known.bound(modelled, now));
+        let key = (request.route.clone(), request.service.clone());
+        let open = self.begun.values().filter(|(other, _)| *other == key);
+        let open = open.map(|(_, begun)| now.since(*begun)).max().unwrap_or_default();
+        let known = self.durations.get(&key);
+        let bound = known.and_then(|known| known.bound(modelled, open, now));
         let left = bound
             .map_or(request.left, |bound| bound.saturating_sub(request.elapsed).min(request.left));
         if now + left + END_MARGIN <= end {
