A leaving entry refuses requests that may outlast its shutdown

What is open at the end is cut.

Change: requests whose deadline lies after the end of the shutdown are refused on admission, 503 leaving, not_run, with Retry-After. All responses of a leaving entry carry Connection: close. The deadline is the only bound on a duration that the entry has; with deadlines over patience_ms (examples: 120 s, 30 s) it refuses such requests from SIGTERM on. The body is read, and the key of a keyed call claimed and released, before the refusal.

Test: leaving_entry_refuses_requests_that_may_outlast_it, six kinds of requests, two deadlines of calls.

--- a/crates/entry/src/core/actor.rs
+++ b/crates/entry/src/core/actor.rs
@@ -81,6 +81,15 @@
     Closing,
 }
 
+/// Time of a shutdown.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ShutdownPeriod {
+    /// When it began.
+    pub begun: Instant,
+    /// When requests that are still open are cut.
+    pub end: Instant,
+}
+
 /// Owns the entry's state.
 pub struct EntryActor {
     pub(super) parts: ActorParts,
@@ -95,6 +104,7 @@
     pub(super) ring: ExplainRing,
     pub(super) slo: SloCounters,
     pub(super) phase: Phase,
+    pub(super) period: Option<ShutdownPeriod>,
     start: Instant,
     actions: Vec<Action>,
     poll_due: bool,
@@ -134,6 +144,7 @@
             ring: ExplainRing::default(),
             slo: SloCounters::default(),
             phase: Phase::Serving,
+            period: None,
             start,
             actions: Vec::new(),
             poll_due: false,
--- a/crates/entry/src/core/requests.rs
+++ b/crates/entry/src/core/requests.rs
@@ -105,6 +105,9 @@
     }
 
     fn admit(&mut self, now: Instant, facts: RequestFacts, job: Job) {
+        if self.may_outlast(job.deadline) {
+            return self.end_refused(now, job, Refused::not_run(RefusalKind::Leaving));
+        }
         match self.scheduler.submit(self.moment(now), facts) {
             Ok(key) => {
                 self.numbers.insert(job.caller.number, key);
--- a/crates/entry/src/core/shutdown.rs
+++ b/crates/entry/src/core/shutdown.rs
@@ -1,11 +1,11 @@
 //! Graceful shutdown.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use agatestair_runtime::log_event;
 use stakker::{CX, after};
 
-use crate::core::actor::{EntryActor, Phase};
+use crate::core::actor::{EntryActor, Phase, ShutdownPeriod};
 use crate::events::{SHUTDOWN_STARTED, SHUTDOWN_TIMED_OUT, STOPPED};
 
 /// Time within which the news of this shutdown reaches all instances.
@@ -27,12 +27,19 @@
         log_event!(self.parts.log, SHUTDOWN_STARTED, "open" => self.jobs.len());
         let timeout = Duration::from_millis(self.parts.settings.patience_ms);
         let timeout = timeout.saturating_sub(EXIT_TIME);
+        let begun = cx.now();
+        self.period = Some(ShutdownPeriod { begun, end: begun + timeout });
         after!(timeout, [cx], shutdown_timed_out());
         let expiry = Duration::from_millis(self.parts.settings.answer_ms) + PROPAGATION_TIME;
         let wait = if self.parts.protections.leave_wait { expiry } else { Duration::ZERO };
         after!(wait.min(timeout), [cx], close());
     }
 
+    /// Whether a request with this deadline may still be open at the end of the shutdown.
+    pub(super) fn may_outlast(&self, deadline: Instant) -> bool {
+        self.period.is_some_and(|period| deadline > period.end)
+    }
+
     /// Stops accepting connections; open requests are finished.
     fn close(&mut self, _cx: CX![]) {
         self.phase = Phase::Closing;
--- a/crates/entry/src/http/routes.rs
+++ b/crates/entry/src/http/routes.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use hyper::body::Incoming;
-use hyper::header::HeaderValue;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Method, Request};
 use tokio::sync::oneshot;
 
@@ -35,6 +35,9 @@
     };
     let value = HeaderValue::from_str(&id).expect("identifiers are visible ASCII");
     response.headers_mut().insert(REQUEST_HEADER, value);
+    if server.view().leaving {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     response
 }
 
--- a/crates/entry/tests/shutdown.rs
+++ b/crates/entry/tests/shutdown.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::thread;
 use std::time::Instant;
 
 use agatestair_schema::answer_text;
@@ -30,7 +31,7 @@
         rig.set_endpoint_faults(ledger, &json!({"hold_before": 1}));
     }
     let address = rig.entry.address;
-    let call = std::thread::spawn(move || {
+    let call = thread::spawn(move || {
         send(address, "POST", PATH, &[("Idempotency-Key", "k")], "body").status
     });
     wait_until("the call has arrived", || rig.runs().iter().any(|run| run.key == "k"));
@@ -54,6 +55,85 @@
     Ok(())
 }
 
+/// A request that arrives during a shutdown of 20 s, whose last half second is reserved.
+struct LateCase {
+    name: &'static str,
+    method: &'static str,
+    path: &'static str,
+    headers: &'static [(&'static str, &'static str)],
+    body: String,
+}
+
+#[gtest]
+fn leaving_entry_refuses_requests_that_may_outlast_it() -> Result<()> {
+    let chat = json!({"model": MODEL, "messages": [{"role": "user", "content": "late"}],
+        "max_tokens": 3});
+    let completions = LateCase {
+        name: "completion",
+        method: "POST",
+        path: "/v1/completions",
+        headers: &[],
+        body: prompt_body("late", 3, false),
+    };
+    let calls = LateCase {
+        name: "idempotent call",
+        method: "GET",
+        path: PATH,
+        headers: &[],
+        body: String::new(),
+    };
+    let cases = [
+        LateCase { name: "stream", body: prompt_body("late", 3, true), ..completions },
+        LateCase {
+            name: "chat",
+            path: "/v1/chat/completions",
+            body: chat.to_string(),
+            ..completions
+        },
+        completions,
+        LateCase { name: "call", method: "POST", body: "body".to_owned(), ..calls },
+        LateCase {
+            name: "call with a key",
+            method: "POST",
+            headers: &[("Idempotency-Key", "k")],
+            body: "body".to_owned(),
+            ..calls
+        },
+        calls,
+    ];
+    // Completions take up to 25 s.
+    for call_ms in [4000, 25_000] {
+        let settings =
+            RigSettings { answer_ms: 5000, patience_ms: 20_000, call_ms, ..<_>::default() };
+        let rig = Rig::start(settings);
+        let address = rig.entry.address;
+        rig.entry.terminate();
+        wait_until("the entry is not ready", || status(address, "/readyz") == Some(503));
+        for case in &cases {
+            let name = format!("{}, calls take up to {call_ms} ms", case.name);
+            let response = send(address, case.method, case.path, case.headers, &case.body);
+            expect_that!(response.header("connection"), some(eq("close")), "{name}");
+            if case.path == PATH && call_ms == 4000 {
+                expect_that!(response.status, eq(200), "{name}");
+                continue;
+            }
+            expect_that!(response.status, eq(503), "{name}");
+            if response.status == 503 {
+                let refused = ("leaving".to_owned(), RunState::NotRun);
+                expect_that!(response.refusal(), eq(&refused), "{name}");
+                expect_that!(response.header("retry-after"), some(anything()), "{name}");
+            }
+            let request = response.header("x-request-id").unwrap_or_default();
+            expect_that!(rig.runs().iter().any(|run| run.request == request), eq(false), "{name}");
+        }
+        let (_control, other) = rig.start_entry("e2");
+        let keyed = || send(other.address, "POST", PATH, &[("Idempotency-Key", "k")], "body");
+        wait_until("the call with a key is answered elsewhere", || keyed().status == 200);
+        expect_that!(rig.runs().iter().filter(|run| run.key == "k").count(), eq(1));
+    }
+    Ok(())
+}
+
 #[gtest]
 fn disabled_protection_truncates_responses_at_shutdown() -> Result<()> {
     let disabled = &["leave_wait", "drain"];
--- a/crates/entry/tests/support/control.rs
+++ b/crates/entry/tests/support/control.rs
@@ -54,7 +54,7 @@
         });
         let fleet = FleetView { version: 1, endpoints: engines.chain(services).collect() };
         Self::start_with(State {
-            lists: lists(1, settings.store_down, settings.deadline_ms),
+            lists: lists(1, settings.store_down, settings.deadline_ms, settings.call_ms),
             fleet,
             directory: Vec::new(),
             fresh: true,
@@ -127,7 +127,7 @@
 
     /// Sends new lists with this revision.
     pub fn set_lists(&self, revision: u64, store_down: &str) {
-        self.change(|state| state.lists = lists(revision, store_down, 25_000));
+        self.change(|state| state.lists = lists(revision, store_down, 25_000, 4000));
     }
 
     /// Changes the state of an endpoint.
@@ -231,7 +231,7 @@
     }
 }
 
-fn lists(revision: u64, store_down: &str, deadline_ms: u64) -> Value {
+fn lists(revision: u64, store_down: &str, deadline_ms: u64, call_ms: u64) -> Value {
     let hash: String = Sha256::digest(API_KEY).iter().map(|byte| format!("{byte:02x}")).collect();
     let other: String = Sha256::digest("other").iter().map(|byte| format!("{byte:02x}")).collect();
     let plan = |name: &str, priority: u32| {
@@ -255,7 +255,7 @@
                     "fleet_share": 0.8},
                 {"plan": "basic", "services": ["models"], "models": [], "fleet_share": 0.2},
             ],
-            "services": [{"service": "ledger", "store_down": store_down, "deadline_ms": 4000}],
+            "services": [{"service": "ledger", "store_down": store_down, "deadline_ms": call_ms}],
         },
     })
 }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -48,6 +48,12 @@
     pub answer_ms: u64,
     /// Deadline of a completion in milliseconds.
     pub deadline_ms: u64,
+    /// Deadline of a call in milliseconds.
+    pub call_ms: u64,
+    /// Time allowed for a shutdown in milliseconds.
+    pub patience_ms: u64,
+    /// Whether warnings and errors are logged to a file, as JSON.
+    pub keep_log: bool,
     /// Time without confirmed lists after which requests are refused, in milliseconds.
     pub stale_ms: u64,
 }
@@ -63,6 +69,9 @@
             disabled: &[],
             answer_ms: 500,
             deadline_ms: 25_000,
+            call_ms: 4000,
+            patience_ms: 30_000,
+            keep_log: false,
             stale_ms: 3000,
         }
     }
@@ -90,6 +99,7 @@
     /// Address for callers.
     pub address: SocketAddr,
     child: Child,
+    log: PathBuf,
 }
 
 impl Entry {
@@ -110,6 +120,13 @@
         assert!(status.expect("kill runs").success(), "the entry has already exited");
     }
 
+    /// Log records of one event; the rig must keep the log.
+    pub fn logged(&self, event: u64) -> Vec<Value> {
+        let log = std::fs::read_to_string(&self.log).expect("the log is kept");
+        let records = log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        records.filter(|record| record["event"] == event).collect()
+    }
+
     /// Waits for the end of the process.
     pub fn wait(&mut self) -> ExitStatus {
         let start = Instant::now();
@@ -297,15 +314,19 @@
 ) -> Entry {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let address = free_address();
+    let level = if settings.keep_log { "warning" } else { "error" };
+    let level = std::env::var("AGATESTAIR_TEST_LOG").unwrap_or_else(|_| level.to_owned());
+    let format = if settings.keep_log { "json" } else { "text" };
     let document = json!({
         "instance": {"name": name, "region": "r", "domain": "a"},
         "listen": address.to_string(),
         "control": control.to_string(),
         "platform": {"address": platform.to_string(), "timeout_ms": 500},
         "link": {"key": LINK_KEY},
-        "log": {"level": std::env::var("AGATESTAIR_TEST_LOG").unwrap_or_else(|_| "error".to_owned())},
+        "log": {"level": level, "format": format},
         "services": [{"name": "models"}, {"name": "ledger"}],
         "answer_ms": settings.answer_ms,
+        "patience_ms": settings.patience_ms,
         "stale_ms": settings.stale_ms,
         "max_body": 65_536,
         "disabled": settings.disabled,
@@ -314,12 +335,19 @@
     let file = format!("entry-{}-{count}.json", std::process::id());
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(file);
     std::fs::write(&path, document.to_string()).expect("temporary folder is writable");
+    let log = path.with_extension("log");
+    let stderr = if settings.keep_log {
+        Stdio::from(std::fs::File::create(&log).expect("temporary folder is writable"))
+    } else {
+        Stdio::inherit()
+    };
     let _guard = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
     let child = Command::new(env!("CARGO_BIN_EXE_agatestair-entry"))
         .arg("--config")
         .arg(&path)
         .stdin(Stdio::null())
+        .stderr(stderr)
         .spawn()
         .expect("entry starts");
-    Entry { address, child }
+    Entry { address, child, log }
 }
