An entry answers what is open at the end of its shutdown

Change: at that time every admitted request is ended: 503 leaving, 409 outcome_unknown for a call that may have run and must not run twice, an error event in a stream. Each is logged by id (1009). A body that has not arrived gets 503 not_run, the caller of a keyed call 503 with ran unknown, and keyed calls look up and record their outcome as after other failures.

Test: requests_open_at_the_end_of_a_shutdown_get_a_response, six kinds.

Not covered: half-read heads, callers that read slowly, keyed calls that wait for the store (answered, no 1009).

--- a/crates/entry/src/core/actor.rs
+++ b/crates/entry/src/core/actor.rs
@@ -49,6 +49,8 @@
     pub view: watch::Sender<View>,
     /// Cancelled by the actor to stop accepting connections.
     pub closing: CancellationToken,
+    /// Cancelled by the actor when requests that are still open must be answered.
+    pub ending: CancellationToken,
     /// Cancelled by the actor to end the process.
     pub done: CancellationToken,
     /// Receives the service-level counters.
--- a/crates/entry/src/core/attempts.rs
+++ b/crates/entry/src/core/attempts.rs
@@ -293,7 +293,7 @@
 
 impl Job {
     /// Whether it is a non-idempotent call that may have run.
-    fn must_not_retry(&self) -> bool {
+    pub(super) fn must_not_retry(&self) -> bool {
         match &self.work {
             JobWork::Call(CallWork { idempotent: false, .. }) => {
                 self.may_have_run || !self.attempts.is_empty()
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -23,6 +23,9 @@
 /// The platform's shutdown timeout expired with open requests.
 pub const SHUTDOWN_TIMED_OUT: Event =
     Event { number: 1008, level: Level::Error, text: "shutdown timed out with open requests" };
+/// A request was open at the end of the shutdown.
+pub const REQUEST_CUT: Event =
+    Event { number: 1009, level: Level::Warning, text: "request cut by shutdown" };
 /// An attempt failed.
 pub const ATTEMPT_FAILED: Event =
     Event { number: 1010, level: Level::Info, text: "attempt failed" };
@@ -57,6 +60,7 @@
     SHUTDOWN_STARTED,
     STOPPED,
     SHUTDOWN_TIMED_OUT,
+    REQUEST_CUT,
     ATTEMPT_FAILED,
     PIECE_DROPPED,
     RESPONSE_TRUNCATED,
--- a/crates/entry/src/http/body.rs
+++ b/crates/entry/src/http/body.rs
@@ -8,17 +8,19 @@
 use hyper::body::{Body, Incoming};
 use serde::de::DeserializeOwned;
 
+use crate::http::state::ServerState;
 use crate::refusal::{RefusalKind, Refused};
 
 /// Time within which the whole request body must arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Reads a whole body of at most `limit` bytes.
+/// Reads a whole body, unless the entry ends before it has arrived.
 ///
 /// # Errors
 ///
 /// A refusal if the body is too large, too slow or truncated.
-pub async fn read_body(body: Incoming, limit: u64) -> Result<Bytes, Refused> {
+pub async fn read_body(server: &ServerState, body: Incoming) -> Result<Bytes, Refused> {
+    let limit = server.settings.max_body;
     let too_large =
         || Refused::not_run(RefusalKind::TooLarge).with_detail(format!("at most {limit} bytes"));
     if body.size_hint().lower() > limit {
@@ -26,7 +28,11 @@
     }
     let limit_bytes = usize::try_from(limit).unwrap_or(usize::MAX);
     let reading = Limited::new(body, limit_bytes).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, reading).await {
+    let reading = tokio::time::timeout(BODY_TIMEOUT, reading);
+    let Some(read) = server.ending.run_until_cancelled(reading).await else {
+        return Err(Refused::not_run(RefusalKind::Leaving));
+    };
+    match read {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
         Ok(Err(_)) => {
--- a/crates/entry/src/http/calls.rs
+++ b/crates/entry/src/http/calls.rs
@@ -116,7 +116,7 @@
     };
     check_path(&path)?;
     let key = single_header(&head.headers, KEY_HEADER, MAX_KEY_LENGTH)?;
-    let body = read_body(body, server.settings.max_body).await?;
+    let body = read_body(server, body).await?;
     if !body.is_empty() && matches!(head.method, Method::GET | Method::HEAD | Method::DELETE) {
         let refused = Refused::not_run(RefusalKind::BadRequest);
         return Err(refused.with_detail(format!("{} takes no body", head.method)));
@@ -140,7 +140,10 @@
         drop(permit);
     });
     let actor_gone = || Refused::with_state(RefusalKind::OutcomeUnknown, RunState::Unknown);
-    response.await.unwrap_or_else(|_| Err(actor_gone()))
+    let Some(response) = server.ending.run_until_cancelled(response).await else {
+        return Err(Refused::with_state(RefusalKind::Leaving, RunState::Unknown));
+    };
+    response.unwrap_or_else(|_| Err(actor_gone()))
 }
 
 /// Submits a call to the actor and waits for the response.
--- a/crates/entry/src/http/completions.rs
+++ b/crates/entry/src/http/completions.rs
@@ -46,7 +46,7 @@
     caller: Caller,
 ) -> Result<HttpResponse, Refused> {
     let chat = request.uri().path().ends_with("/chat/completions");
-    let body = read_body(request.into_body(), server.settings.max_body).await?;
+    let body = read_body(server, request.into_body()).await?;
     let parsed = parse(chat, &body)?;
     drop(body);
     let service = find_service(&server.view(), lists, &caller, &parsed.model)?;
--- a/crates/entry/src/http/state.rs
+++ b/crates/entry/src/http/state.rs
@@ -9,6 +9,7 @@
 use slog::Logger;
 use stakker::sync::Channel;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::claims::Claims;
@@ -37,6 +38,8 @@
     pub permits: Arc<Semaphore>,
     /// Tracks connections and keyed calls, which must end before the process exits.
     pub tracker: TaskTracker,
+    /// Cancelled when requests that are still open must be answered.
+    pub ending: CancellationToken,
     /// Renders the metrics page.
     pub metrics: MetricsHandle,
     /// Log.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -88,7 +88,7 @@
     let (snapshots, writer) =
         SnapshotWriter::start(platform, &settings.instance, &boot, log.clone())
             .change_context(StartError::Resources)?;
-    let (closing, done) = (CancellationToken::new(), CancellationToken::new());
+    let [closing, ending, done] = std::array::from_fn(|_| CancellationToken::new());
     let (view, published) = watch::channel(View::default());
     let mut event_loop = EventLoop::new();
     let links = LinkChannel::default();
@@ -100,6 +100,7 @@
         node: node.clone(),
         view,
         closing: closing.clone(),
+        ending: ending.clone(),
         done: done.clone(),
         snapshots: Some(snapshots),
         log: log.clone(),
@@ -116,6 +117,7 @@
         view: published,
         claims,
         tracker: TaskTracker::new(),
+        ending,
         metrics,
         log: log.clone(),
         next_request: AtomicU64::new(1),
--- a/crates/entry/tests/shutdown.rs
+++ b/crates/entry/tests/shutdown.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::thread;
 use std::time::Instant;
 
@@ -10,10 +11,12 @@
 use agatestair_schema::link::Presence;
 use agatestair_schema::slo::SloSnapshot;
 use googletest::prelude::*;
-use serde_json::json;
+use serde_json::{Value, json};
 
-use self::support::caller::{EventStream, StreamEnd, get_json, prompt_body, send, status};
-use self::support::{MODEL, Rig, RigSettings, wait_until};
+use self::support::caller::{
+    EventStream, StreamEnd, get_json, prompt_body, send, send_raw, status,
+};
+use self::support::{API_KEY, MODEL, Rig, RigSettings, wait_until};
 
 const PATH: &str = "/v1/services/ledger/scores";
 
@@ -134,6 +137,76 @@
     Ok(())
 }
 
+#[gtest]
+fn requests_open_at_the_end_of_a_shutdown_get_a_response() -> Result<()> {
+    let mut rig = Rig::start(RigSettings {
+        answer_ms: 100,
+        patience_ms: 3000,
+        step_ms: 20.0,
+        deadline_ms: 60_000,
+        call_ms: 60_000,
+        keep_log: true,
+        ..RigSettings::default()
+    });
+    for ledger in ["ledger0-1", "ledger1-1"] {
+        rig.set_endpoint_faults(ledger, &json!({"hold_before": 10}));
+    }
+    let address = rig.entry.address;
+    let caller = |method: &'static str, path, headers: &'static [_], body: String| {
+        thread::spawn(move || {
+            let response = send(address, method, path, headers, &body);
+            let id = response.header("x-request-id").unwrap_or_default().to_owned();
+            (id, response.status, response.refusal())
+        })
+    };
+    let half = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer {API_KEY}\r\n\
+         Content-Length: 100\r\n\r\n{{\"model\""
+    );
+    let half = thread::spawn(move || send_raw(address, half.as_bytes(), false));
+    let key: &[_] = &[("Idempotency-Key", "k")];
+    let refused = |code: &str, ran| (code.to_owned(), ran);
+    let leaving = refused("leaving", RunState::Unknown);
+    let unknown = refused("outcome_unknown", RunState::Unknown);
+    let long = prompt_body("long", 1000, false);
+    let callers = [
+        ("completion", caller("POST", "/v1/completions", &[], long), 503, &leaving),
+        ("idempotent call", caller("GET", PATH, &[], String::new()), 503, &leaving),
+        ("call", caller("POST", PATH, &[], "body".to_owned()), 409, &unknown),
+        ("call with a key", caller("POST", PATH, key, "body".to_owned()), 503, &leaving),
+    ];
+    let mut stream = EventStream::open(address, "leaving", 1000);
+    verify_true!(stream.read_piece())?;
+    let arrived = || rig.runs().into_iter().map(|run| run.request).collect::<BTreeSet<_>>();
+    wait_until("all requests have arrived", || arrived().len() == 5);
+    rig.entry.terminate();
+    let mut ids = Vec::new();
+    for (name, caller, status, refusal) in callers {
+        let Ok((id, found, answer)) = caller.join() else {
+            add_failure!("no response: {name}");
+            continue;
+        };
+        expect_that!(found, eq(status), "{name}");
+        expect_that!(answer, eq(refusal), "{name}");
+        ids.push(id);
+    }
+    expect_that!(stream.read_to_end(), eq(StreamEnd::Truncated));
+    let error = stream.error.unwrap_or_default();
+    expect_that!(error["error"]["code"].as_str(), some(eq("leaving")));
+    ids.push(error["error"]["request"].as_str().unwrap_or_default().to_owned());
+    let half = half.join().expect("caller ends");
+    expect_that!(half, starts_with("HTTP/1.1 503 "));
+    expect_that!(half, contains_substring("\"ran\":\"not_run\""));
+    expect_that!(rig.entry.wait().code(), some(eq(0)));
+    let request = |record: &Value| record["request"].as_str().unwrap_or_default().to_owned();
+    let mut cut: Vec<_> = rig.entry.logged(1009).iter().map(request).collect();
+    cut.sort();
+    ids.sort();
+    expect_that!(cut, eq(&ids));
+    expect_that!(rig.entry.logged(1008).len(), eq(1));
+    Ok(())
+}
+
 #[gtest]
 fn disabled_protection_truncates_responses_at_shutdown() -> Result<()> {
     let disabled = &["leave_wait", "drain"];
