A malformed row is logged once, and its endpoint is removed at once

What was seen: event 5013 for the same row at each full read of the table, with event 5016 ("kept for now") for an endpoint that was never known. A row that became malformed within two seconds after an outage of the store was still used, as if its entry had merely expired.

Cause: a malformed row was handled like a removed one, and nothing remembered that it was logged.

Change: the cursor of a table remembers the keys of malformed rows until they can be parsed, are removed, or are missing in a full read; a row present and malformed removes its endpoint without the grace period.

--- a/crates/serve/src/cursor.rs
+++ b/crates/serve/src/cursor.rs
@@ -1,8 +1,10 @@
 //! Position of an instance in the changes of a table of the store.
 
+use std::collections::HashSet;
+
 use agatestair_policy::Moment;
 
-use crate::store::{Changes, Row};
+use crate::store::{Changes, Row, RowKey};
 
 /// Changes of a table that one instance sends to others.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -30,6 +32,8 @@
     behind: Option<Moment>,
     /// Whether the store no longer had changes that were requested.
     history_lost: bool,
+    /// Keys of the rows that cannot be parsed.
+    malformed: HashSet<RowKey>,
 }
 
 impl Cursor {
@@ -111,6 +115,21 @@
         self.history_lost = true;
     }
 
+    /// Records that a row cannot be parsed; returns whether this was not known before.
+    pub fn note_malformed(&mut self, key: &RowKey) -> bool {
+        self.malformed.insert(key.clone())
+    }
+
+    /// Records that a row can be parsed or was removed.
+    pub fn note_parsed(&mut self, key: &str) {
+        self.malformed.remove(key);
+    }
+
+    /// Forgets the malformed rows that are not in a full read of the table.
+    pub fn retain_malformed(&mut self, keys: &[RowKey]) {
+        self.malformed.retain(|key| keys.contains(key));
+    }
+
     fn advance(&mut self, version: u64) {
         self.known = self.known.max(Some(version));
         if self.tip >= self.peer_tip {
--- a/crates/serve/src/endpoint_list.rs
+++ b/crates/serve/src/endpoint_list.rs
@@ -88,6 +88,12 @@
         true
     }
 
+    /// Removes an endpoint whose entry no longer names one; returns whether there was one.
+    pub fn discard(&mut self, board: &mut Board, name: &str) -> bool {
+        self.expired.remove(name);
+        board.find(name).inspect(|key| board.remove(*key)).is_some()
+    }
+
     /// Removes the endpoints that are not in a full read of the list; returns their names.
     pub fn retain(&mut self, board: &mut Board, names: &[Arc<str>], now: Moment) -> Vec<Arc<str>> {
         let known: Vec<Arc<str>> =
--- a/crates/serve/src/watch.rs
+++ b/crates/serve/src/watch.rs
@@ -16,8 +16,9 @@
 };
 use crate::node::{FollowMode, Node};
 use crate::shared::Shared;
-use crate::store::{Changes, Row, StoreError, Table};
+use crate::store::{Changes, Row, RowKey, StoreError, Table};
 use crate::watchers::probe_pause;
+use crate::wire::WireError;
 
 /// A long poll is this much shorter than `bounds.contact_ms`, the time without faults after which
 /// an instance must keep all bounds again. The margin covers the client's slack, a new connection
@@ -264,17 +265,32 @@
 }
 
 fn apply_configuration(shared: &Shared, row: Row, source: &str) {
-    let Some(value) = row.value.filter(|_| &*row.key == CONFIGURATION_KEY) else { return };
+    // The key of a malformed row may be unknown.
+    let is_known = &*row.key == CONFIGURATION_KEY || row.key.is_empty();
+    let Some(value) = row.value.filter(|_| is_known) else { return };
+    let key = row.key.clone();
     match (shared.wire.read_configuration)(&value) {
         Ok(configuration) => {
             let version = configuration.version;
-            if shared.hub.ask(move |node, _| node.adopt(configuration)) {
+            let adopted = shared.hub.ask(move |node, _| {
+                node.cursor(Table::Configuration).note_parsed(&key);
+                node.adopt(configuration)
+            });
+            if adopted {
                 log_event!(shared.log, CONFIGURED, "version" => version, "row" => row.version,
                     "source" => source);
             }
         }
-        Err(error) => log_event!(shared.log, ROW_MALFORMED, "table" => "configuration",
-            "error" => error.to_string()),
+        Err(error) => note_malformed(shared, Table::Configuration, &key, &error),
+    }
+}
+
+/// Logs a row that cannot be parsed, unless it could not be parsed before either.
+fn note_malformed(shared: &Shared, table: Table, key: &RowKey, error: &WireError) {
+    let row = key.clone();
+    if shared.hub.ask(move |node, _| node.cursor(table).note_malformed(&row)) {
+        log_event!(shared.log, ROW_MALFORMED, "table" => table.label(), "row" => &**key,
+            "error" => error.to_string());
     }
 }
 
@@ -289,6 +305,7 @@
     if full {
         let gone = shared.hub.ask(move |node, now| {
             node.endpoint_list.known = true;
+            node.cursor(Table::Endpoints).retain_malformed(&names);
             node.retain_endpoints(&names, now)
         });
         gone.iter()
@@ -300,23 +317,34 @@
     match (shared.wire.read_endpoint)(name, value) {
         Ok(facts) => {
             let noted = facts.clone();
-            shared.hub.ask(move |node, _| node.note_endpoint(noted));
+            shared.hub.ask(move |node, _| {
+                node.cursor(Table::Endpoints).note_parsed(&noted.name);
+                node.note_endpoint(noted);
+            });
             log_event!(shared.log, ENDPOINT_CHANGED, "endpoint" => &**name,
                 "service" => &*facts.service, "leaving" => facts.leaving,
                 "stage" => format!("{:?}", facts.stage), "address" => facts.address.to_string(),
                 "source" => source);
         }
         Err(error) => {
-            log_event!(shared.log, ROW_MALFORMED, "table" => "endpoints", "row" => &**name,
-                "error" => error.to_string());
-            drop_endpoint(shared, name);
+            note_malformed(shared, Table::Endpoints, name, &error);
+            let key = name.clone();
+            let discarded =
+                move |node: &mut Node, _| node.endpoint_list.discard(&mut node.board, &key);
+            if shared.hub.ask(discarded) {
+                log_event!(shared.log, ENDPOINT_REMOVED, "endpoint" => &**name,
+                    "cause" => "malformed row");
+            }
         }
     }
 }
 
 fn drop_endpoint(shared: &Shared, name: &Arc<str>) {
     let key = name.clone();
-    let gone = shared.hub.ask(move |node, now| node.drop_endpoint(&key, now));
+    let gone = shared.hub.ask(move |node, now| {
+        node.cursor(Table::Endpoints).note_parsed(&key);
+        node.drop_endpoint(&key, now)
+    });
     if gone {
         log_event!(shared.log, ENDPOINT_REMOVED, "endpoint" => &**name);
     } else {
--- a/crates/serve/tests/components.rs
+++ b/crates/serve/tests/components.rs
@@ -11,7 +11,7 @@
 use agatestair_policy::board::{Board, BoardSettings};
 use agatestair_policy::{EndpointKey, Moment};
 use agatestair_serve::{
-    Bulletin, BulletinTable, BulletinUpdate, Configuration, Datagram, Digest, DomainSums,
+    Bulletin, BulletinTable, BulletinUpdate, Configuration, Cursor, Datagram, Digest, DomainSums,
     EndpointList, EventSplitter, Hub, Identity, Limits, LoadChanges, Member, MemberState, Members,
     Node, NodeSettings, Pulse, PulseLimit, PulseLimits, PulseLoad, Route, RouteKind, Service,
     TableState, Target, explain,
@@ -233,6 +233,33 @@
     }
 }
 
+#[gtest]
+fn an_entry_that_became_malformed_after_an_outage_gets_no_grace_period() {
+    let mut board = Board::new(BoardSettings::default());
+    let mut endpoint_list = EndpointList::default();
+    endpoint_list.upsert(&mut board, endpoint_facts("one", false));
+    endpoint_list.note_store_down(Moment(1));
+    endpoint_list.note_store_up(Moment(2));
+    expect_that!(endpoint_list.discard(&mut board, "one"), eq(true));
+    expect_that!(board.find("one"), none());
+    expect_that!(endpoint_list.due(Moment(3)), none());
+    expect_that!(endpoint_list.discard(&mut board, "one"), eq(false));
+}
+
+#[gtest]
+fn a_malformed_row_is_reported_once_until_it_is_mended_or_removed() {
+    let mut cursor = Cursor::default();
+    let (one, two) = ("one".into(), "two".into());
+    let reported = |cursor: &mut Cursor| cursor.note_malformed(&one);
+    expect_that!((reported(&mut cursor), reported(&mut cursor)), eq((true, false)));
+    cursor.note_parsed("one");
+    expect_that!(reported(&mut cursor), eq(true));
+    cursor.retain_malformed(&["one".into()]);
+    expect_that!(reported(&mut cursor), eq(false));
+    cursor.retain_malformed(&[two]);
+    expect_that!(reported(&mut cursor), eq(true));
+}
+
 fn member(name: &str, domain: &str, port: u16) -> Member {
     Member {
         name: name.into(),
