A refusal written twice no longer refuses the next request

What callers would see: 503 with Retry-After for a request that a runner runs (REFUSED), or a request that must not run again runs at a second runner (TWICE).

Cause: a response is given to the request whose id it echoes, and one without an id to the request that waits. The connection of a refusal is used again; if the runner writes a refusal without an id once more, the copy is taken for the refusal of the next request.

Change: the connection of a refusal that names no request is not used again. A response that names a request is not given to one without an id either.

Why it works: a copy can only come on a connection on which the refusal was written before. If it names a request, the id tells it apart; if it does not, no request follows on that connection. Bytes on an idle connection close it (hyper), as before.

--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -63,6 +63,7 @@
     _task: TaskGuard,
     idle_limit: Duration,
     last_used: Instant,
+    retired: bool,
 }
 
 /// Why a request got no response.
@@ -98,7 +99,14 @@
             drop(driver.await);
         });
         let idle_limit = settings.idle;
-        Ok(Self { sender, limit, _task: TaskGuard(task), idle_limit, last_used: Instant::now() })
+        Ok(Self {
+            sender,
+            limit,
+            _task: TaskGuard(task),
+            idle_limit,
+            last_used: Instant::now(),
+            retired: false,
+        })
     }
 
     /// Sends a request and waits for the response head.
@@ -128,9 +136,15 @@
         self.last_used = Instant::now();
     }
 
+    /// Excludes the connection from further use, since a later response could not be told from one
+    /// of those before.
+    pub fn retire(&mut self) {
+        self.retired = true;
+    }
+
     /// Whether the connection can be used for another request.
     pub fn is_usable(&self) -> bool {
-        self.sender.is_ready() && self.last_used.elapsed() < self.idle_limit
+        !self.retired && self.sender.is_ready() && self.last_used.elapsed() < self.idle_limit
     }
 }
 
--- a/crates/serve/src/send.rs
+++ b/crates/serve/src/send.rs
@@ -172,9 +172,7 @@
     connection.note_idle(facts.idle);
     let endpoint = EndpointRef { key: placement.key, name: &placement.name };
     note_availability(shared, endpoint, forwarded.id.as_deref(), head.status, &facts);
-    if let (Some(echo), Some(id)) = (&facts.echo, &forwarded.id)
-        && **echo != **id
-    {
+    if facts.echo.is_some() && facts.echo.as_deref() != forwarded.id.as_deref() {
         return SendOutcome::Unknown("the answer belongs to another request".to_owned());
     }
     if let Some(pace) = facts.pace {
@@ -182,6 +180,10 @@
         shared.hub.ask(move |node, now| node.note_direct_pace(key, pace, now));
     }
     if facts.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
+        if facts.echo.is_none() {
+            // If it were written again, it could not be told from the refusal of a later request.
+            connection.retire();
+        }
         drain_refusal(shared, placement, connection, body).await;
         let moved = head.status == StatusCode::MISDIRECTED_REQUEST;
         return SendOutcome::Refused { status: head.status, moved };
