A broken stream is continued only by a stream that begins at its next event

Cause: the answer to a resumption counted if it was a signed success of any kind. A signed 200 of plain text was cut into events at its blank lines; 204 ended the stream as complete; a run that began at another event than the next one was passed on.

Change: a resumption must answer 200 with the media type of the stream that it continues. The first identifier of the resumed run must be greater than the last one passed on, and the next one if identifiers were consecutive so far; else the run counts as broken before anything of it is passed on.

One event before the break does not show whether identifiers are consecutive: a gap after it is not detected.

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -75,7 +75,7 @@
 pub use run::{Process, ServeError, Setup};
 pub use sharing::Sharing;
 pub use store::{Changes, LocalFuture, Row, RowKey, StoreClient, StoreError, Table, Transaction};
-pub use stream::EventSplitter;
+pub use stream::{EventSplitter, StreamError};
 pub use token_bucket::TokenBucket;
 pub use watchers::{Rank, Watchers};
 pub use wire::{
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -5,6 +5,8 @@
 use agatestair_policy::board::FailureKind;
 use agatestair_runtime::log_event;
 use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
@@ -27,6 +29,9 @@
 /// stalled and is moved to another endpoint.
 const STALL_FACTOR: u32 = 4;
 
+/// Media type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// The part of a stream that one endpoint serves.
 struct Run {
     guard: AttemptGuard,
@@ -35,12 +40,15 @@
     idle: Option<Duration>,
     /// When the response head arrived.
     begun: Instant,
+    /// Media type of the body, if given.
+    media: Option<String>,
 }
 
 impl Run {
     fn new(guard: AttemptGuard, response: EndpointResponse) -> Self {
         Self {
             guard,
+            media: media_type(&response.headers),
             body: response.body,
             connection: response.connection,
             idle: response.facts.idle,
@@ -49,6 +57,19 @@
     }
 }
 
+/// Whether a body with these headers may continue one of the media type `media`.
+fn continues(media: Option<&str>, headers: &HeaderMap) -> bool {
+    let next = media_type(headers);
+    next.as_deref() == media || (media.is_none() && next.as_deref() == Some(EVENT_STREAM))
+}
+
+/// Media type of a body without its parameters, in lower case.
+fn media_type(headers: &HeaderMap) -> Option<String> {
+    let value = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    let media = value.split_once(';').map_or(value, |(media, _)| media);
+    Some(media.trim().to_ascii_lowercase())
+}
+
 /// Why a stream could not be resumed.
 enum ResumeError {
     /// The endpoint failed; another one may work.
@@ -67,6 +88,17 @@
     Broken(String),
 }
 
+impl Stop {
+    /// Label of the end in metrics and logs, and its cause.
+    fn describe(self) -> (&'static str, String) {
+        match self {
+            Self::CallerGone => ("left", "the caller disconnected".to_owned()),
+            Self::TimedOut => ("late", "the request timed out".to_owned()),
+            Self::Broken(cause) => ("broken", cause),
+        }
+    }
+}
+
 /// Starts relaying a stream in a task; the caller's body ends cleanly only if the stream does.
 pub fn relay(call: Call, guard: AttemptGuard, response: EndpointResponse) -> ResponseBody {
     let (chunks, body) = mpsc::channel(QUEUED_CHUNKS);
@@ -135,8 +167,7 @@
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
         };
         let complete = events.push(&bytes);
-        let complete =
-            complete.map_err(|size| Stop::Broken(format!("event of {size} bytes is too large")))?;
+        let complete = complete.map_err(|error| Stop::Broken(error.to_string()))?;
         if !buffer.set(events.capacity()) {
             let cause = format!("memory limit reached by an event of {} bytes", events.pending());
             return Err(Stop::Broken(cause));
@@ -173,28 +204,24 @@
     stop: Stop,
     chunks: &mpsc::Sender<Chunk>,
 ) -> Option<Run> {
-    let (end, cause) = match stop {
-        Stop::CallerGone => ("left", "the caller disconnected".to_owned()),
-        Stop::TimedOut => {
-            call.note_duration();
-            ("late", "the request timed out".to_owned())
-        }
-        Stop::Broken(cause) => ("broken", cause),
-    };
+    if matches!(stop, Stop::TimedOut) {
+        call.note_duration();
+    }
+    let (end, cause) = stop.describe();
     if end == "broken" {
         // Closing the connection ends this run before another one starts.
-        let Run { guard, begun, body, connection, .. } = run;
+        let Run { guard, begun, body, connection, media, .. } = run;
         let answering = begun.elapsed();
         drop((body, connection));
         call.note_failed(&guard, FailureKind::Broken, &cause);
         note_broken(call, &guard, Some(answering)).await;
         drop(guard);
-        events.take_rest();
-        if let Some(next) = fail_over(call, events).await {
+        events.resume();
+        if let Some(next) = fail_over(call, events, media.as_deref()).await {
             return Some(next);
         }
         while call.may_run_again() {
-            match resume(call, events).await {
+            match resume(call, events, media.as_deref()).await {
                 Ok(next) => return Some(next),
                 Err(ResumeError::Failed) => {}
                 Err(ResumeError::Exhausted) => break,
@@ -204,16 +231,20 @@
             }
         }
     }
+    log_stop(call, end, &cause, events);
+    None
+}
+
+fn log_stop(call: &Call, end: &'static str, cause: &str, events: &EventSplitter) {
     metrics::counter!("agatestair_serve_streams_total", "end" => end).increment(1);
     log_event!(call.shared.log, ATTEMPT_FAILED, "request" => call.forwarded.id.as_deref(),
         "cause" => cause, "events" => events.events, "end" => end,
         "ms" => call.arrived.elapsed().as_millis() as u64);
-    None
 }
 
 /// Continues a run on the engine that replicates its KV cache. This is the same run, so it is
 /// allowed for requests that must not run again, too.
-async fn fail_over(call: &mut Call, events: &EventSplitter) -> Option<Run> {
+async fn fail_over(call: &mut Call, events: &EventSplitter, media: Option<&str>) -> Option<Run> {
     let backup = call.backup.take()?;
     let handle = call.forwarded.id.as_deref().map(HandleName::from)?;
     if !call.may_send_again() {
@@ -221,12 +252,16 @@
     }
     let phase = Phase::Decode { source: backup.address, handle: &handle };
     // `place` and `start_run` log failures, except for a timeout.
-    start_run(call, Search::Copy(backup.key), phase, events).await.ok()
+    start_run(call, Search::Copy(backup.key), phase, events, media).await.ok()
 }
 
 /// Starts a new run that continues after the last complete event.
-async fn resume(call: &mut Call, events: &EventSplitter) -> Result<Run, ResumeError> {
-    start_run(call, Search::Run { split: false }, Phase::Whole, events).await
+async fn resume(
+    call: &mut Call,
+    events: &EventSplitter,
+    media: Option<&str>,
+) -> Result<Run, ResumeError> {
+    start_run(call, Search::Run { split: false }, Phase::Whole, events, media).await
 }
 
 async fn start_run(
@@ -234,6 +269,7 @@
     search: Search,
     phase: Phase<'_>,
     events: &EventSplitter,
+    media: Option<&str>,
 ) -> Result<Run, ResumeError> {
     let placement = call.place(search);
     let mut guard = placement.map_err(|_| ResumeError::Exhausted)?;
@@ -242,7 +278,9 @@
     let sent = timeout_at(deadline, call.send(&guard, phase, last.as_deref())).await;
     let response = match sent {
         Ok(SendOutcome::Responded(response))
-            if response.status.is_success() && response.facts.signed =>
+            if response.status == StatusCode::OK
+                && response.facts.signed
+                && continues(media, &response.headers) =>
         {
             response
         }
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -1,5 +1,6 @@
 //! Splits server-sent event streams into events.
 
+use std::fmt;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -8,6 +9,33 @@
 /// Maximum size of one event in bytes; a larger one makes the stream invalid.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// Why the bytes of a stream are not passed on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StreamError {
+    /// An event of this many bytes or more exceeds the maximum size.
+    TooLarge(usize),
+    /// A resumed stream begins with the event `next` after the event `last`.
+    OutOfPlace {
+        /// Identifier of the last event before the resumption.
+        last: String,
+        /// Identifier of the first event after it.
+        next: String,
+    },
+}
+
+impl fmt::Display for StreamError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLarge(size) => write!(f, "event of {size} bytes is too large"),
+            Self::OutOfPlace { last, next } => {
+                write!(f, "the stream was resumed with event {next} after event {last}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for StreamError {}
+
 /// Splits the bytes of a stream into complete events and records the last identifier.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -19,6 +47,10 @@
     /// Longest time between the arrivals of complete events.
     pub max_gap: Duration,
     last_event: Option<Instant>,
+    /// Number of events whose identifiers were consecutive up to the last one.
+    consecutive: u64,
+    /// Whether the next event with an identifier is the first one of a resumed run.
+    resumed: bool,
 }
 
 impl EventSplitter {
@@ -26,13 +58,14 @@
     ///
     /// # Errors
     ///
-    /// Returns the number of buffered bytes if an event exceeds the maximum size.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, usize> {
+    /// Returns a [`StreamError`] if an event exceeds the maximum size, or if a resumed run does not
+    /// continue after the last event.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, StreamError> {
         self.pending.extend_from_slice(bytes);
         let mut end = 0;
         while let Some(length) = event_length(&self.pending[end..]) {
             if let Some(id) = event_id(&self.pending[end..end + length]) {
-                self.last = Some(id);
+                self.note_id(id)?;
             }
             self.events += 1;
             end += length;
@@ -43,11 +76,31 @@
             self.max_gap = self.max_gap.max(gap.unwrap_or_default());
         }
         if self.pending.len() - end > MAX_EVENT_BYTES {
-            return Err(self.pending.len());
+            return Err(StreamError::TooLarge(self.pending.len()));
         }
         Ok(self.pending.split_to(end).freeze())
     }
 
+    /// Drops an incomplete event, and expects the next run to continue after the last complete one.
+    pub fn resume(&mut self) {
+        self.pending.clear();
+        self.resumed = true;
+    }
+
+    /// Records the identifier of a complete event.
+    fn note_id(&mut self, id: String) -> Result<(), StreamError> {
+        let step = self.last.as_deref().and_then(|last| step(last, &id));
+        if std::mem::take(&mut self.resumed)
+            && let (Some(last), Some(step)) = (&self.last, step)
+            && (step <= 0 || (step > 1 && self.consecutive > 1))
+        {
+            return Err(StreamError::OutOfPlace { last: last.clone(), next: id });
+        }
+        self.consecutive = if step == Some(1) { self.consecutive + 1 } else { 1 };
+        self.last = Some(id);
+        Ok(())
+    }
+
     /// Number of buffered bytes of an incomplete event.
     pub fn pending(&self) -> usize {
         self.pending.len()
@@ -77,6 +130,11 @@
     None
 }
 
+/// Difference of two identifiers; `None` if they are not numbers.
+fn step(last: &str, next: &str) -> Option<i128> {
+    Some(i128::from(next.parse::<u64>().ok()?) - i128::from(last.parse::<u64>().ok()?))
+}
+
 /// Value of the event's last `id` field.
 fn event_id(event: &[u8]) -> Option<String> {
     let lines = event.split(|byte| *byte == b'\n');
--- a/crates/serve/tests/components.rs
+++ b/crates/serve/tests/components.rs
@@ -57,6 +57,45 @@
     expect_that!(splitter.take_rest().as_ref(), eq(b"id: 2\nda"));
 }
 
+/// Identifiers of events before a resumption, and the first one after it.
+struct ResumptionCase {
+    before: &'static [&'static str],
+    next: &'static str,
+    continues: bool,
+}
+
+const RESUMPTIONS: [ResumptionCase; 10] = [
+    ResumptionCase { before: &["1", "2", "3"], next: "4", continues: true },
+    ResumptionCase { before: &["1", "2", "3"], next: "3", continues: false },
+    ResumptionCase { before: &["1", "2", "3"], next: "1", continues: false },
+    ResumptionCase { before: &["1", "2", "3"], next: "5", continues: false },
+    ResumptionCase { before: &["11", "22", "33"], next: "44", continues: true },
+    ResumptionCase { before: &["11", "22", "33"], next: "33", continues: false },
+    // One event does not show by how much identifiers increase.
+    ResumptionCase { before: &["1"], next: "3", continues: true },
+    ResumptionCase { before: &["1"], next: "1", continues: false },
+    ResumptionCase { before: &["a", "b"], next: "x", continues: true },
+    ResumptionCase { before: &[], next: "7", continues: true },
+];
+
+#[gtest]
+fn a_resumed_stream_continues_after_its_last_event() {
+    for case in &RESUMPTIONS {
+        let mut splitter = EventSplitter::default();
+        for id in case.before {
+            let event = format!("id: {id}\n\n");
+            splitter.push(event.as_bytes()).expect("a stream in order");
+        }
+        splitter.push(b"id: 9").expect("an event that is not complete");
+        splitter.resume();
+        let first = format!(": comment\n\nid: {}\n\n", case.next);
+        let pushed = splitter.push(first.as_bytes());
+        expect_that!(pushed.is_ok(), eq(case.continues), "{:?}, {}", case.before, case.next);
+        let last = if case.continues { Some(case.next) } else { case.before.last().copied() };
+        expect_that!(splitter.last.as_deref(), eq(last), "{:?}, {}", case.before, case.next);
+    }
+}
+
 #[gtest]
 fn a_log_explains_one_request() {
     let log = "not a record\n\
