Only a success of events is relayed as a stream, and it ends with a whole event

Cause: every response to a streaming request was cut into events, whatever its status and media type, and one without a whole event counted as whole, so that error texts pass.

Change: a response that is no success, or names another media type, is passed on as it is and never continued by another run. A stream is whole only if it ends with a whole event, also when it ends inside its first one; without a length or chunks it must have one, since nothing else shows that it was not cut off. The exception for bodies without events stays for those that name no media type and are whole by their length or chunks.

--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -5,8 +5,8 @@
 use agatestair_policy::board::FailureKind;
 use agatestair_runtime::log_event;
 use bytes::Bytes;
-use http::header::CONTENT_TYPE;
-use http::{HeaderMap, StatusCode};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::{HeaderMap, Method, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
@@ -42,19 +42,43 @@
     begun: Instant,
     /// Media type of the body, if given.
     media: Option<String>,
+    /// Whether the body ends with its connection, without a length or chunks.
+    unframed: bool,
+    /// Number of the stream's events before this run.
+    begin: u64,
 }
 
 impl Run {
-    fn new(guard: AttemptGuard, response: EndpointResponse) -> Self {
+    fn new(guard: AttemptGuard, response: EndpointResponse, begin: u64) -> Self {
+        let headers = &response.headers;
         Self {
             guard,
-            media: media_type(&response.headers),
+            media: media_type(headers),
+            unframed: !headers.contains_key(CONTENT_LENGTH)
+                && !headers.contains_key(TRANSFER_ENCODING),
+            begin,
             body: response.body,
             connection: response.connection,
             idle: response.facts.idle,
             begun: Instant::now(),
         }
     }
+
+    /// Whether the body must end with a complete event. Only a body that does not say that it holds
+    /// events, and whose framing shows that it is whole, may hold none.
+    fn holds_events(&self, events: &EventSplitter) -> bool {
+        let declared = self.media.as_deref() == Some(EVENT_STREAM);
+        declared || self.unframed || events.events > 0
+    }
+
+    /// Why a body that ended with its connection in good order is not whole, if it is not.
+    fn defect(&self, events: &EventSplitter, rest: &[u8]) -> Option<&'static str> {
+        if self.holds_events(events) && !rest.trim_ascii().is_empty() {
+            return Some("the stream ended in the middle of an event");
+        }
+        let is_empty = self.unframed && events.events == self.begin;
+        is_empty.then_some("the stream ended before its first event")
+    }
 }
 
 /// Whether a body with these headers may continue one of the media type `media`.
@@ -99,13 +123,73 @@
     }
 }
 
-/// Starts relaying a stream in a task; the caller's body ends cleanly only if the stream does.
+/// Starts relaying a response in a task; the caller's body ends cleanly only if the response does.
+///
+/// Only a success may be a stream of events: the body of an error is passed on as it is, and never
+/// continued by another run.
 pub fn relay(call: Call, guard: AttemptGuard, response: EndpointResponse) -> ResponseBody {
     let (chunks, body) = mpsc::channel(QUEUED_CHUNKS);
-    tokio::task::spawn_local(relay_stream(call, Run::new(guard, response), chunks));
+    let status = response.status;
+    let run = Run::new(guard, response, 0);
+    let streams = match run.media.as_deref() {
+        Some(media) => status.is_success() && media == EVENT_STREAM,
+        None => status == StatusCode::OK,
+    };
+    // The response to a HEAD request has no body.
+    if streams && call.forwarded.method != Method::HEAD {
+        tokio::task::spawn_local(relay_stream(call, run, chunks));
+    } else {
+        tokio::task::spawn_local(relay_body(call, run, chunks));
+    }
     ResponseBody::chunks(body)
 }
 
+/// Relays a body that is no stream of events.
+async fn relay_body(mut call: Call, mut run: Run, chunks: mpsc::Sender<Chunk>) {
+    let events = EventSplitter::default();
+    if let Err(stop) = forward_body(&call, &mut run, &chunks).await {
+        let (end, cause) = stop.describe();
+        if end == "broken" {
+            call.note_failed(&run.guard, FailureKind::Broken, &cause);
+        }
+        return log_stop(&call, end, &cause, &events);
+    }
+    finish(&call, run, &events, &chunks).await;
+}
+
+async fn forward_body(
+    call: &Call,
+    run: &mut Run,
+    chunks: &mpsc::Sender<Chunk>,
+) -> Result<(), Stop> {
+    loop {
+        let frame = tokio::select! {
+            frame = timeout_at(call.deadline, run.body.frame()) => frame,
+            () = chunks.closed() => return Err(Stop::CallerGone),
+        };
+        match frame {
+            Err(_) => return Err(Stop::TimedOut),
+            Ok(None) => return Ok(()),
+            Ok(Some(Err(error))) => return Err(Stop::Broken(error.to_string())),
+            Ok(Some(Ok(frame))) => {
+                let bytes = frame.into_data().unwrap_or_default();
+                if !bytes.is_empty() {
+                    send_chunk(chunks, bytes).await?;
+                }
+            }
+        }
+    }
+}
+
+/// Ends the caller's body and returns the connection to the pool.
+async fn finish(call: &Call, mut run: Run, events: &EventSplitter, chunks: &mpsc::Sender<Chunk>) {
+    run.connection.note_idle(run.idle);
+    call.shared.pool.put(run.guard.placement.key, run.connection);
+    // Sending fails if the caller has disconnected; the response is over either way.
+    drop(chunks.send(Chunk::End).await);
+    log_complete(call, &run.guard, events);
+}
+
 async fn relay_stream(mut call: Call, mut run: Run, chunks: mpsc::Sender<Chunk>) {
     let mut events = EventSplitter::default();
     let mut buffer = BufferGuard::new(&call.shared.buffer_limit);
@@ -113,11 +197,7 @@
         match forward(&call, &mut run, &mut events, &mut buffer, &chunks).await {
             Ok(()) => {
                 run.guard.note_done(events.events);
-                run.connection.note_idle(run.idle);
-                call.shared.pool.put(run.guard.placement.key, run.connection);
-                // Sending fails if the caller has disconnected; the stream is over either way.
-                drop(chunks.send(Chunk::End).await);
-                return log_complete(&call, &run.guard, &events);
+                return finish(&call, run, &events, &chunks).await;
             }
             Err(stop) => match recover(&mut call, run, &mut events, stop, &chunks).await {
                 Some(next) => run = next,
@@ -155,11 +235,8 @@
             Err(_) => return Err(Stop::Broken("stream stalled".to_owned())),
             Ok(None) => {
                 let rest = events.take_rest();
-                // A body without any events need not end with a complete event.
-                if events.events > 0 && !rest.trim_ascii().is_empty() {
-                    return Err(Stop::Broken(
-                        "the stream ended in the middle of an event".to_owned(),
-                    ));
+                if let Some(defect) = run.defect(events, &rest) {
+                    return Err(Stop::Broken(defect.to_owned()));
                 }
                 return if rest.is_empty() { Ok(()) } else { send_chunk(chunks, rest).await };
             }
@@ -300,5 +377,5 @@
     guard.note_first();
     log_event!(call.shared.log, RESUMED, "request" => call.forwarded.id.as_deref(),
         "endpoint" => &*guard.placement.name, "after" => last, "search" => search.label());
-    Ok(Run::new(guard, *response))
+    Ok(Run::new(guard, *response, events.events))
 }
