Tests of the quarantine: tables of cases and bounds

Cause: policy::Quarantine is only tested through whole fleets.

Change: 27 cases of crashes, surviving runs, reports of others and requests on a virtual clock; a million parts in crashes, in one crash and in verdicts.

--- /dev/null
+++ b/crates/policy/tests/quarantine.rs
@@ -0,0 +1,526 @@
+//! Prompt parts that crash engines are quarantined, and no others.
+
+use std::time::Duration;
+
+use agatestair_policy::{
+    CrashReport, Moment, ProcessKey, Quarantine, QuarantineCheck, ServicePart, Survival, Verdict,
+};
+use googletest::prelude::*;
+
+const START: Moment = Moment(10_000_000_000);
+const SERVICE: u64 = 1;
+const OTHER_SERVICE: u64 = 2;
+
+/// First part of all prompts.
+const FIRST: u64 = 10;
+const GUILTY: u64 = 20;
+const SECOND_GUILTY: u64 = 21;
+/// A sound part that many prompts hold.
+const HOT: u64 = 30;
+
+const NONE: &[u64] = &[];
+
+/// Most suspects, crashes and verdicts that can be observed at a [`Quarantine`].
+const MOST_SUSPECTS: usize = 256;
+const MOST_CRASHES: usize = 64;
+const MOST_VERDICTS: usize = 256;
+const MOST_SURVIVALS: usize = 4096 + 256;
+
+use self::Step::{Check, Crash, Elect, Expire, PeerCrash, PeerSurvival, PeerVerdict, Survived};
+
+/// What happens after a time in milliseconds.
+enum Step {
+    /// The next process crashes, with these suspects.
+    Crash(u64, &'static [u64]),
+    /// The same, as another instance reports it.
+    PeerCrash(u64, &'static [u64]),
+    /// A run with these parts survives.
+    Survived(u64, &'static [u64]),
+    /// Another instance reports that a run with a part survived this many milliseconds ago.
+    PeerSurvival(u64, u64, u64),
+    /// Another instance quarantined a part this many milliseconds ago, for this many crashes.
+    PeerVerdict(u64, u64, u64, u32),
+    /// A request with a part arrives.
+    Check(u64, u64, QuarantineCheck),
+    /// From then on this instance sends trials, or does not.
+    Elect(bool),
+    Expire(u64),
+}
+
+struct Case {
+    name: &'static str,
+    steps: &'static [Step],
+    quarantined: &'static [u64],
+}
+
+const DENIED: QuarantineCheck = QuarantineCheck::Denied(GUILTY);
+const TRIAL: QuarantineCheck = QuarantineCheck::Trial(GUILTY);
+const CLEAR: QuarantineCheck = QuarantineCheck::Clear;
+
+const CASES: &[Case] = &[
+    Case {
+        name: "two crashes are not sufficient",
+        steps: &[Crash(0, &[GUILTY]), Crash(1000, &[GUILTY]), Check(1100, GUILTY, CLEAR)],
+        quarantined: NONE,
+    },
+    Case {
+        name: "three crashes are",
+        steps: &[
+            Crash(0, &[GUILTY]),
+            Crash(1000, &[GUILTY]),
+            Crash(2000, &[GUILTY]),
+            Check(2000, GUILTY, DENIED),
+            Check(2000, HOT, CLEAR),
+        ],
+        quarantined: &[GUILTY],
+    },
+    Case {
+        name: "crashes that others report count like own ones",
+        steps: &[
+            PeerCrash(0, &[GUILTY, HOT]),
+            Crash(1000, &[GUILTY]),
+            PeerCrash(2000, &[GUILTY, FIRST]),
+        ],
+        quarantined: &[GUILTY],
+    },
+    Case {
+        name: "crashes within a tenth of a second count once",
+        steps: &[
+            Crash(0, &[HOT]),
+            Crash(10, &[HOT]),
+            PeerCrash(20, &[HOT]),
+            PeerCrash(99, &[HOT]),
+            Crash(5000, &[HOT]),
+            Crash(5099, &[HOT]),
+        ],
+        quarantined: NONE,
+    },
+    Case {
+        name: "crashes a tenth of a second apart count",
+        steps: &[Crash(0, &[GUILTY]), Crash(100, &[GUILTY]), Crash(200, &[GUILTY])],
+        quarantined: &[GUILTY],
+    },
+    Case {
+        name: "the same crash, seen by several instances, counts once",
+        steps: &[Crash(0, &[GUILTY]), Crash(1000, &[GUILTY]), PeerCrash(1001, &[GUILTY])],
+        quarantined: NONE,
+    },
+    Case {
+        name: "a hot part in four of five crashes that survives in between is not blamed",
+        steps: &[
+            Survived(0, &[FIRST, HOT]),
+            Crash(1000, &[FIRST, HOT, GUILTY]),
+            Survived(1200, &[FIRST, HOT]),
+            Crash(1500, &[FIRST, HOT, GUILTY]),
+            Crash(2000, &[FIRST, GUILTY]),
+            Survived(2100, &[FIRST, HOT]),
+            Crash(2500, &[FIRST, HOT, GUILTY]),
+            Crash(3000, &[FIRST, HOT, GUILTY]),
+            Check(3100, HOT, CLEAR),
+            Check(3100, FIRST, CLEAR),
+            Check(3100, GUILTY, DENIED),
+        ],
+        quarantined: &[GUILTY],
+    },
+    Case {
+        name: "a part that survived in the minute before is not blamed for four crashes",
+        steps: &[
+            Survived(0, &[HOT]),
+            Crash(59_000, &[HOT]),
+            Crash(60_000, &[HOT]),
+            Crash(61_000, &[HOT]),
+            Crash(62_000, &[HOT]),
+        ],
+        quarantined: NONE,
+    },
+    Case {
+        name: "a part that survived in the minute before is blamed for five crashes",
+        steps: &[
+            Survived(0, &[GUILTY]),
+            Crash(59_000, &[GUILTY]),
+            Crash(60_000, &[GUILTY]),
+            Crash(61_000, &[GUILTY]),
+            Crash(62_000, &[GUILTY]),
+            Crash(63_000, &[GUILTY]),
+        ],
+        quarantined: &[GUILTY],
+    },
+    Case {
+        name: "the same if another instance reports that it survived",
+        steps: &[
+            PeerSurvival(30_000, HOT, 30_000),
+            Crash(59_000, &[HOT]),
+            Crash(60_000, &[HOT]),
+            Crash(61_000, &[HOT]),
+            Crash(62_000, &[HOT]),
+        ],
+        quarantined: NONE,
+    },
+    Case {
+        name: "a run that survived longer before does not count",
+        steps: &[
+            Survived(0, &[GUILTY]),
+            Crash(61_000, &[GUILTY]),
+            Crash(62_000, &[GUILTY]),
+            Crash(63_000, &[GUILTY]),
+        ],
+        quarantined: &[GUILTY],
+    },
+    Case {
+        name: "two guilty parts explain the crashes of their own",
+        steps: &[
+            Crash(0, &[HOT, GUILTY]),
+            Crash(500, &[HOT, SECOND_GUILTY]),
+            Crash(1000, &[GUILTY]),
+            Crash(1500, &[SECOND_GUILTY]),
+            Crash(2000, &[GUILTY]),
+            Crash(2500, &[SECOND_GUILTY]),
+            Crash(3000, &[GUILTY, HOT]),
+            Crash(3500, &[SECOND_GUILTY, HOT]),
+        ],
+        quarantined: &[GUILTY, SECOND_GUILTY],
+    },
+    Case {
+        name: "crashes that a quarantined part explains are not held against others",
+        steps: &[
+            Crash(0, &[GUILTY]),
+            Crash(500, &[GUILTY, HOT]),
+            Crash(1000, &[GUILTY, HOT]),
+            Crash(1500, &[GUILTY, HOT]),
+            PeerCrash(2000, &[GUILTY, HOT]),
+            Crash(2500, &[GUILTY, HOT, FIRST]),
+            Crash(3000, &[GUILTY, HOT, FIRST]),
+            Crash(3500, &[GUILTY, HOT, FIRST]),
+        ],
+        quarantined: &[GUILTY],
+    },
+    Case {
+        name: "the same if another instance quarantined the part",
+        steps: &[
+            PeerVerdict(0, GUILTY, 0, 3),
+            Crash(500, &[GUILTY, HOT]),
+            Crash(1000, &[GUILTY, HOT]),
+            Crash(1500, &[GUILTY, HOT]),
+            Crash(2000, &[GUILTY, HOT]),
+        ],
+        quarantined: &[GUILTY],
+    },
+    Case {
+        name: "a run that survives after the verdict lifts it",
+        steps: &[
+            Crash(0, &[GUILTY]),
+            Crash(1000, &[GUILTY]),
+            Crash(2000, &[GUILTY]),
+            Survived(3000, &[FIRST, GUILTY]),
+            Check(3000, GUILTY, CLEAR),
+        ],
+        quarantined: NONE,
+    },
+    Case {
+        name: "the same if another instance reports it",
+        steps: &[
+            Crash(0, &[GUILTY]),
+            Crash(1000, &[GUILTY]),
+            Crash(2000, &[GUILTY]),
+            PeerSurvival(3000, GUILTY, 500),
+            Check(3000, GUILTY, CLEAR),
+        ],
+        quarantined: NONE,
+    },
+    Case {
+        name: "a report of a run that survived before the verdict does not lift it",
+        steps: &[
+            Crash(0, &[GUILTY]),
+            Crash(1000, &[GUILTY]),
+            Crash(2000, &[GUILTY]),
+            PeerSurvival(3000, GUILTY, 1500),
+            Check(3000, GUILTY, DENIED),
+        ],
+        quarantined: &[GUILTY],
+    },
+    Case {
+        name: "verdicts of others are adopted",
+        steps: &[PeerVerdict(0, GUILTY, 500, 5), Check(100, GUILTY, DENIED)],
+        quarantined: &[GUILTY],
+    },
+    Case {
+        name: "verdicts of others are refused if a later run survived",
+        steps: &[Survived(0, &[GUILTY]), PeerVerdict(1000, GUILTY, 2000, 5)],
+        quarantined: NONE,
+    },
+    Case {
+        name: "verdicts of others are adopted if only an earlier run survived",
+        steps: &[Survived(0, &[GUILTY]), PeerVerdict(3000, GUILTY, 2000, 5)],
+        quarantined: &[GUILTY],
+    },
+    Case {
+        name: "one trial after a minute, by the elected instance",
+        steps: &[
+            Crash(0, &[GUILTY]),
+            Crash(1000, &[GUILTY]),
+            Crash(2000, &[GUILTY]),
+            Elect(true),
+            Check(61_999, GUILTY, DENIED),
+            Elect(false),
+            Check(62_000, GUILTY, DENIED),
+            Elect(true),
+            Check(62_000, GUILTY, TRIAL),
+            Check(62_000, GUILTY, DENIED),
+            Check(200_000, GUILTY, DENIED),
+        ],
+        quarantined: &[GUILTY],
+    },
+    Case {
+        name: "no trial after five crashes",
+        steps: &[
+            Elect(true),
+            Crash(0, &[GUILTY]),
+            Crash(1000, &[GUILTY]),
+            Crash(2000, &[GUILTY]),
+            Crash(2500, &[GUILTY]),
+            PeerCrash(3000, &[GUILTY]),
+            Check(70_000, GUILTY, DENIED),
+        ],
+        quarantined: &[GUILTY],
+    },
+    Case {
+        name: "no trial if another instance knows of five crashes",
+        steps: &[
+            Elect(true),
+            PeerVerdict(0, GUILTY, 0, 3),
+            PeerVerdict(100, GUILTY, 100, 5),
+            PeerVerdict(200, GUILTY, 200, 3),
+            Check(70_000, GUILTY, DENIED),
+        ],
+        quarantined: &[GUILTY],
+    },
+    Case {
+        name: "a part without requests is forgotten after ten minutes",
+        steps: &[
+            Crash(0, &[GUILTY]),
+            Crash(1000, &[GUILTY]),
+            Crash(2000, &[GUILTY]),
+            Check(10_000, GUILTY, DENIED),
+            Expire(609_999),
+            Check(609_999, HOT, CLEAR),
+            Expire(610_000),
+            Check(610_000, GUILTY, CLEAR),
+        ],
+        quarantined: NONE,
+    },
+    Case {
+        name: "a part whose requests go on is not forgotten",
+        steps: &[
+            PeerVerdict(0, GUILTY, 0, 5),
+            Check(500_000, GUILTY, DENIED),
+            Expire(600_000),
+            Check(1_000_000, GUILTY, DENIED),
+            Expire(1_100_000),
+            Expire(1_599_000),
+        ],
+        quarantined: &[GUILTY],
+    },
+    Case {
+        name: "a part with requests at other instances is not forgotten",
+        steps: &[
+            PeerVerdict(0, GUILTY, 0, 5),
+            PeerVerdict(590_000, GUILTY, 590_000, 5),
+            Expire(600_000),
+            Expire(1_189_000),
+        ],
+        quarantined: &[GUILTY],
+    },
+    Case {
+        name: "old crashes do not count",
+        steps: &[
+            Crash(0, &[HOT]),
+            Crash(1000, &[HOT]),
+            Expire(601_000),
+            Crash(602_000, &[HOT]),
+            Crash(603_000, &[HOT]),
+        ],
+        quarantined: NONE,
+    },
+];
+
+fn at(ms: u64) -> Moment {
+    START + Duration::from_millis(ms)
+}
+
+fn part(part: u64) -> ServicePart {
+    ServicePart { service: SERVICE, part }
+}
+
+fn report(service: u64, endpoint: u64, suspects: &[u64]) -> CrashReport {
+    CrashReport {
+        process: ProcessKey { endpoint, born: 1 },
+        service,
+        age: Duration::ZERO,
+        suspects: suspects.to_vec(),
+    }
+}
+
+fn peer_verdict(part: ServicePart, age: Duration, crashes: u32) -> Verdict {
+    Verdict { part, age, seen: Duration::ZERO, crashes }
+}
+
+fn contained(quarantine: &Quarantine, service: u64, part: u64) -> bool {
+    quarantine.contains(service, std::iter::once(part))
+}
+
+fn play(case: &Case) {
+    let mut quarantine = Quarantine::default();
+    let mut elected = false;
+    let mut now = START;
+    for (index, step) in case.steps.iter().enumerate() {
+        let endpoint = index as u64;
+        match step {
+            Crash(ms, suspects) => {
+                now = at(*ms);
+                quarantine.note_crash(&report(SERVICE, endpoint, suspects), now);
+            }
+            PeerCrash(ms, suspects) => {
+                now = at(*ms);
+                quarantine.note_peer_crash(&report(SERVICE, endpoint, suspects), now);
+            }
+            Survived(ms, parts) => {
+                now = at(*ms);
+                quarantine.note_survived(SERVICE, parts.iter().copied(), now);
+            }
+            PeerSurvival(ms, id, age) => {
+                now = at(*ms);
+                let age = Duration::from_millis(*age);
+                quarantine.note_peer_survival(Survival { part: part(*id), age }, now);
+            }
+            PeerVerdict(ms, id, age, crashes) => {
+                now = at(*ms);
+                let age = Duration::from_millis(*age);
+                quarantine.note_peer_verdict(peer_verdict(part(*id), age, *crashes), now);
+            }
+            Check(ms, id, expected) => {
+                now = at(*ms);
+                let check = quarantine.check(SERVICE, [FIRST, *id].into_iter(), |_| elected, now);
+                expect_that!(check, eq(*expected), "{}, step {index}", case.name);
+            }
+            Elect(value) => elected = *value,
+            Expire(ms) => {
+                now = at(*ms);
+                quarantine.expire(now);
+            }
+        }
+    }
+    let all = quarantine.all_verdicts(now);
+    let mut parts: Vec<u64> = all.iter().map(|verdict| verdict.part.part).collect();
+    parts.sort_unstable();
+    expect_that!(parts, eq(case.quarantined), "{}", case.name);
+}
+
+#[gtest]
+fn parts_that_crash_engines_are_quarantined_and_no_others() {
+    CASES.iter().for_each(play);
+}
+
+/// Three crashes, one a second from `from_ms` on.
+fn crash_thrice(quarantine: &mut Quarantine, service: u64, suspect: u64, from_ms: u64) {
+    for step in 0..3 {
+        let endpoint = from_ms + step + service * 1_000_000;
+        quarantine.note_crash(&report(service, endpoint, &[suspect]), at(from_ms + step * 1000));
+    }
+}
+
+#[gtest]
+fn a_part_is_judged_for_each_service_by_itself() {
+    let mut quarantine = Quarantine::default();
+    crash_thrice(&mut quarantine, SERVICE, GUILTY, 0);
+    expect_that!(contained(&quarantine, SERVICE, GUILTY), eq(true));
+    expect_that!(contained(&quarantine, OTHER_SERVICE, GUILTY), eq(false));
+    // Neither do runs there refute the verdict, nor does the verdict explain crashes there.
+    quarantine.note_survived(OTHER_SERVICE, std::iter::once(GUILTY), at(3000));
+    expect_that!(contained(&quarantine, SERVICE, GUILTY), eq(true));
+    let mut quarantine = Quarantine::default();
+    crash_thrice(&mut quarantine, SERVICE, GUILTY, 0);
+    crash_thrice(&mut quarantine, OTHER_SERVICE, GUILTY, 3000);
+    expect_that!(contained(&quarantine, OTHER_SERVICE, GUILTY), eq(true));
+}
+
+#[gtest]
+fn suspects_of_a_crash_are_those_that_all_its_observers_report() {
+    let mut quarantine = Quarantine::default();
+    for endpoint in 0..3 {
+        let now = at(endpoint * 1000);
+        quarantine.note_crash(&report(SERVICE, endpoint, &[HOT + endpoint]), now);
+        quarantine.note_peer_crash(&report(SERVICE, endpoint, &[GUILTY]), now);
+    }
+    let verdicts = quarantine.all_verdicts(at(3000));
+    let parts: Vec<u64> = verdicts.iter().map(|verdict| verdict.part.part).collect();
+    expect_that!(parts, eq(&vec![GUILTY]));
+}
+
+#[gtest]
+fn the_part_without_requests_for_longest_is_dropped_first() {
+    let mut quarantine = Quarantine::default();
+    let most = MOST_VERDICTS as u64;
+    for id in 0..most {
+        let verdict = peer_verdict(part(id), Duration::ZERO, 5);
+        expect_that!(quarantine.note_peer_verdict(verdict, at(id)), some(anything()));
+    }
+    let denied = quarantine.check(SERVICE, std::iter::once(0), |_| false, at(most));
+    expect_that!(denied, eq(QuarantineCheck::Denied(0)));
+    let verdict = peer_verdict(part(most), Duration::ZERO, 5);
+    quarantine.note_peer_verdict(verdict, at(most));
+    expect_that!(quarantine.all_verdicts(at(most)).len(), eq(MOST_VERDICTS));
+    expect_that!(contained(&quarantine, SERVICE, 0), eq(true));
+    expect_that!(contained(&quarantine, SERVICE, 1), eq(false));
+    expect_that!(contained(&quarantine, SERVICE, 2), eq(true));
+    expect_that!(contained(&quarantine, SERVICE, most), eq(true));
+}
+
+/// Largest size of the printed form of a [`Quarantine`]: at most 100 bytes for each suspect, as often
+/// as a crash may hold it, for each verdict and for each run that survived.
+const MOST_PRINTED: usize =
+    100 * (2 * MOST_CRASHES * MOST_SUSPECTS + MOST_VERDICTS * 3 + MOST_SURVIVALS * 2);
+
+const MANY: u64 = 1_000_000;
+
+#[gtest]
+fn a_million_parts_in_crashes_keep_the_tables_bounded() {
+    let mut quarantine = Quarantine::default();
+    let each = 20;
+    for step in 0..MANY / each {
+        let suspects: Vec<u64> = (step * each..(step + 1) * each).collect();
+        let crash = report(SERVICE, step, &suspects);
+        if step % 2 == 0 {
+            quarantine.note_crash(&crash, at(step));
+        } else {
+            quarantine.note_peer_crash(&crash, at(step));
+        }
+    }
+    let reports = quarantine.crash_reports(Duration::MAX, at(MANY));
+    expect_that!(reports.len(), le(MOST_CRASHES));
+    expect_that!(quarantine.all_verdicts(at(MANY)).len(), eq(0));
+    expect_that!(format!("{quarantine:?}").len(), le(MOST_PRINTED));
+}
+
+#[gtest]
+fn a_million_suspects_of_one_crash_keep_the_tables_bounded() {
+    let mut quarantine = Quarantine::default();
+    let suspects: Vec<u64> = (0..MANY).collect();
+    for chunk in suspects.chunks(1000) {
+        quarantine.note_crash(&report(SERVICE, 1, chunk), START);
+        quarantine.note_peer_crash(&report(SERVICE, 2, chunk), START);
+    }
+    let reports = quarantine.crash_reports(Duration::MAX, START);
+    expect_that!(reports.len(), eq(1));
+    expect_that!(reports[0].suspects.len(), le(MOST_SUSPECTS));
+    expect_that!(format!("{quarantine:?}").len(), le(MOST_PRINTED));
+}
+
+#[gtest]
+fn a_million_verdicts_keep_the_tables_bounded() {
+    let mut quarantine = Quarantine::default();
+    for id in 0..MANY {
+        quarantine.note_peer_verdict(peer_verdict(part(id), Duration::ZERO, 5), at(id));
+    }
+    expect_that!(quarantine.all_verdicts(at(MANY)).len(), eq(MOST_VERDICTS));
+    expect_that!(format!("{quarantine:?}").len(), le(MOST_PRINTED));
+}
