A refused verdict is answered even if the run survived a while ago

Cause: an instance that refuses a verdict, since it knows of a later run that survived, noted the time of that run as the time from which on it reports it. Reports go on for 120 ms, so that a run that survived earlier than that was never reported.

Change: the report begins when the verdict is refused.

Measured: a_refused_verdict_is_answered_with_the_run_that_survived (a run 0.5 s ago) failed before (0 of 1 reports) and passes now.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -238,8 +238,8 @@
             entry.since = entry.since.min(since);
             return None;
         }
-        if let Some(at) = self.survivors.get(&verdict.part).filter(|at| **at > since) {
-            self.survivals.insert(verdict.part, *at);
+        if self.survivors.get(&verdict.part).is_some_and(|at| *at > since) {
+            self.survivals.insert(verdict.part, now);
             return None;
         }
         let entry = Entry {
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use agatestair_policy::{
-    CrashReport, Moment, ProcessKey, Quarantine, QuarantineCheck, ServicePart, Survival, Verdict,
+    CrashReport, Moment, ProcessKey, Quarantine, QuarantineChange, QuarantineCheck, ServicePart,
+    Survival, Verdict,
 };
 use googletest::prelude::*;
 
@@ -524,3 +525,18 @@
     expect_that!(quarantine.all_verdicts(at(MANY)).len(), eq(MOST_VERDICTS));
     expect_that!(format!("{quarantine:?}").len(), le(MOST_PRINTED));
 }
+
+#[gtest]
+fn a_refused_verdict_is_answered_with_the_run_that_survived() {
+    let verdict = peer_verdict(part(HOT), Duration::from_secs(1), 3);
+    let mut other = Quarantine::default();
+    expect_that!(other.note_peer_verdict(verdict, at(5500)), some(anything()));
+    let mut quarantine = Quarantine::default();
+    quarantine.note_survived(SERVICE, std::iter::once(HOT), at(5000));
+    expect_that!(quarantine.note_peer_verdict(verdict, at(5500)), none());
+    let survivals = quarantine.survivals(Duration::from_millis(120), at(5540));
+    expect_that!(survivals.len(), eq(1));
+    let change = other.note_peer_survival(survivals[0], at(5560));
+    expect_that!(change, some(eq(QuarantineChange::Released(part(HOT)))));
+    expect_that!(contained(&other, SERVICE, HOT), eq(false));
+}
