A full quarantine keeps the parts with the latest requests

Cause: a verdict of another instance on a part without requests for longer than all 256 known ones displaced one of them.

Change: such a verdict is not adopted while the table is full.

Measured: a_verdict_of_a_part_without_requests_for_longer_displaces_none failed before (adopted, another dropped) and passes now.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -250,6 +250,10 @@
             tried: false,
             reported: None,
         };
+        let full = self.entries.len() >= MAX_QUARANTINED;
+        if full && self.entries.values().all(|known| known.seen >= seen) {
+            return None;
+        }
         self.insert(verdict.part, entry);
         Some(QuarantineChange::Added(verdict))
     }
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -540,3 +540,17 @@
     expect_that!(change, some(eq(QuarantineChange::Released(part(HOT)))));
     expect_that!(contained(&other, SERVICE, HOT), eq(false));
 }
+
+#[gtest]
+fn a_verdict_of_a_part_without_requests_for_longer_displaces_none() {
+    let mut quarantine = Quarantine::default();
+    let most = MOST_VERDICTS as u64;
+    for id in 0..most {
+        quarantine.note_peer_verdict(peer_verdict(part(id), Duration::ZERO, 5), at(id));
+    }
+    let age = Duration::from_secs(60);
+    let older = Verdict { part: part(most), age, seen: age, crashes: 5 };
+    expect_that!(quarantine.note_peer_verdict(older, at(most)), none());
+    expect_that!(contained(&quarantine, SERVICE, 0), eq(true));
+    expect_that!(contained(&quarantine, SERVICE, most), eq(false));
+}
