Runs that survived are remembered in a bounded table

Cause: what an instance reports of runs that survived is kept for a minute, in a table without a bound, and for parts whose survival is no longer known.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -482,11 +482,15 @@
     }
 
     fn trim_survivors(&mut self, now: Moment) {
+        if self.survivors.len() <= MAX_SURVIVORS {
+            return;
+        }
         let mut age = PROVEN_AGE;
         while self.survivors.len() > MAX_SURVIVORS {
             self.survivors.retain(|_, at| now.since(*at) < age);
             age /= 2;
         }
+        self.survivals.retain(|part, _| self.survivors.contains_key(part));
     }
 }
 
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -554,3 +554,23 @@
     expect_that!(contained(&quarantine, SERVICE, 0), eq(true));
     expect_that!(contained(&quarantine, SERVICE, most), eq(false));
 }
+
+#[gtest]
+fn a_million_parts_in_surviving_runs_keep_the_tables_bounded() {
+    let mut quarantine = Quarantine::default();
+    for id in 0..MANY {
+        let now = START + Duration::from_micros(id * 30);
+        match id % 3 {
+            0 => drop(quarantine.note_survived(SERVICE, std::iter::once(id), now)),
+            1 => {
+                let survival = Survival { part: part(id), age: Duration::ZERO };
+                quarantine.note_peer_survival(survival, now);
+            }
+            _ => {
+                quarantine.note_peer_verdict(peer_verdict(part(id), Duration::ZERO, 3), now);
+                quarantine.note_survived(SERVICE, std::iter::once(id), now);
+            }
+        }
+    }
+    expect_that!(format!("{quarantine:?}").len(), le(MOST_PRINTED));
+}
