An instance that starts learns of all quarantined parts

Cause: a datagram held at most 32 verdicts, in the three rounds in which instances that start are told what holds.

Change: it may hold all 256 that an instance keeps (some 30 bytes each).

--- a/crates/serve/src/node/crashes.rs
+++ b/crates/serve/src/node/crashes.rs
@@ -17,8 +17,11 @@
 /// Largest number of suspects in a datagram.
 const MAX_SUSPECTS: usize = 128;
 
-/// Largest number of verdicts, and of survivals, in a datagram.
-const MAX_REPORTS: usize = 32;
+/// Largest number of verdicts in a datagram: all that an instance keeps.
+const MAX_VERDICTS: usize = 256;
+
+/// Largest number of survivals in a datagram.
+const MAX_SURVIVALS: usize = 32;
 
 impl Node {
     /// Records a crash that this instance observed.
@@ -85,9 +88,9 @@
                 all.filter(|verdict| self.members.should_query(own, verdict.part.part, now));
             verdicts.extend(reported);
         }
-        let verdicts = verdicts.into_iter().take(MAX_REPORTS).map(PulseVerdict::from).collect();
+        let verdicts = verdicts.into_iter().take(MAX_VERDICTS).map(PulseVerdict::from).collect();
         let survivals = quarantine.survivals(REPEAT, now).into_iter();
-        let survivals = survivals.take(MAX_REPORTS).map(PulseSurvival::from).collect();
+        let survivals = survivals.take(MAX_SURVIVALS).map(PulseSurvival::from).collect();
         let news = PulseCrashes { crashes, verdicts, survivals };
         Some(news).filter(|news| !news.is_empty())
     }
