A trial of a quarantined part crashes one engine at most

Found by reading, in the tests of the quarantine: a trial is exempt from the check of its later attempts, so that it could be sent again after its first crash.

Change: a trial that met a crash is not sent again. Not shown by a test: the trial comes a minute after the verdict.

--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -326,7 +326,8 @@
 
     /// Whether the request may be sent again; spends one unit of the service's retry budget.
     pub fn may_send_again(&self) -> bool {
-        if self.sends >= MAX_SENDS || self.crashes >= MAX_CRASHES || self.remaining().is_zero() {
+        let max_crashes = if self.trial { 1 } else { MAX_CRASHES };
+        if self.sends >= MAX_SENDS || self.crashes >= max_crashes || self.remaining().is_zero() {
             return false;
         }
         let service = self.service.name.clone();
