Control tests: pause the holder of a lease that stays, not of one on its way

Cause: the test. The instance that becomes live first takes the leases of all shards and releases them to the others for balance, one every two seconds, as soon as their liveness is stable. find_holder named the holder that instance 0 saw at that moment and the test paused it. A lease that was released just before has no former holder that could still act, so that its next holder rightly names none.

Ruled out: a run counted as gone (it takes 15 s; the deployment was 3 s old) and a lost former holder (the row was released, so that none was due).

Change: find_holder waits until all instances see each other as live and the lease at its preferred holder, which releases it only when the candidates change. The check is as strict as before, and all three tests that pause or kill the holder now really meet it; the crash cases could kill an instance that had released the lease, and then showed nothing.

--- a/crates/control/tests/fleet.rs
+++ b/crates/control/tests/fleet.rs
@@ -1,10 +1,13 @@
 //! Promises about orders and lists, tested with real processes and checked against the records of
 //! the stand-ins.
 
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use agatestair_control::LeaseSettings;
 use agatestair_ctl::{CtlError, OperatorClient};
+use agatestair_policy::assign::assign_evenly;
 use agatestair_schema::lists::WishState;
 use agatestair_schema::platform::PlatformFaults;
 use agatestair_schema::standins::{HoldPage, OrderPage, OrderRecord};
@@ -62,13 +65,43 @@
 }
 
 /// Indices of the instance that holds the lease on `endpoint` and of another one.
+///
+/// Waits until every instance sees all others as live and the lease at its preferred holder, which
+/// keeps it while the instances run: before that, it may be released for balance at any moment.
 fn find_holder(testbed: &Testbed, endpoint: &str) -> (usize, usize) {
-    let name = wait_for("a lease holder", || holder(testbed, 0, endpoint)).0;
-    let found = testbed.instances.iter().position(|instance| instance.addresses.name == name);
+    let indices = 0..testbed.instances.len();
+    let name = wait_for("a balanced lease", || {
+        let statuses: Option<Vec<StatusReport>> =
+            indices.clone().map(|index| status(testbed, index)).collect();
+        let statuses = statuses?;
+        let holder = preferred_holder(testbed, statuses.first()?, endpoint)?;
+        statuses.iter().all(|status| is_balanced(status, &holder, endpoint)).then_some(holder)
+    });
+    let found = testbed.instances.iter().position(|instance| *instance.addresses.name == *name);
     let held = found.expect("the holder is an instance");
     (held, (held + 1) % testbed.instances.len())
 }
 
+/// The instance that the lease on `endpoint` goes to while all instances are live.
+fn preferred_holder(testbed: &Testbed, status: &StatusReport, endpoint: &str) -> Option<Arc<str>> {
+    let known = status.endpoints.iter().find(|known| known.name == endpoint)?;
+    let shards: Vec<Arc<str>> =
+        (0..LeaseSettings::default().shards).map(|shard| format!("shard-{shard}").into()).collect();
+    let mut names: Vec<Arc<str>> =
+        testbed.instances.iter().map(|instance| instance.addresses.name.as_str().into()).collect();
+    names.sort_unstable();
+    let owner = assign_evenly(&shards, &names).get(usize::try_from(known.shard).ok()?).copied();
+    owner.and_then(|owner| names.get(owner).cloned())
+}
+
+/// Whether an instance sees all others as live and the lease on `endpoint` at `holder`.
+fn is_balanced(status: &StatusReport, holder: &str, endpoint: &str) -> bool {
+    let shard = status.endpoints.iter().find(|known| known.name == endpoint).map(|e| e.shard);
+    let lease = status.leases.iter().find(|lease| Some(lease.shard) == shard);
+    lease.is_some_and(|lease| lease.holder == holder && lease.former == 0)
+        && status.instances.iter().all(|instance| instance.presence == "live")
+}
+
 fn orders(testbed: &Testbed, endpoint: &str) -> Vec<OrderRecord> {
     let page: OrderPage =
         testbed.client.get(&testbed.addresses.recorder, "/orders").expect("the recorder responds");
