Testbed: probes of ports keep no owner from its port

Cause: `PortBlock::reserve` probed each port with a listener and dropped it. A child that another thread starts at that moment holds a copy of the listener until it executes its program (close-on-exec acts only then), so that the port stays taken after the block was handed out.

Change: a probe binds with SO_REUSEADDR and does not listen. It fails as before on a port where something listens or that is bound without the option; a copy of it hinders no owner, as all set the option. A lock that probes and starts of children take in turn was not chosen: each start, in every crate, would have to go through it.

--- a/crates/testbed/src/ports.rs
+++ b/crates/testbed/src/ports.rs
@@ -3,6 +3,8 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use socket2::{Domain, Protocol, Socket, Type};
+
 use crate::error::TestbedError;
 
 /// First port of the first block. All blocks lie below the ephemeral port range, so that no
@@ -17,7 +19,8 @@
 
 /// Ports reserved for one deployment.
 ///
-/// A listener on the first port serves as the lock of the block against other processes.
+/// A listener on the first port serves as the lock of the block. Owners of the other ports must
+/// listen with `SO_REUSEADDR`, as listeners of the standard library do.
 pub struct PortBlock {
     _lock: TcpListener,
     next: u16,
@@ -73,6 +76,18 @@
 
 fn lock_block(first: u16) -> Option<TcpListener> {
     let lock = TcpListener::bind((Ipv4Addr::LOCALHOST, first)).ok()?;
-    let free = |port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok();
-    (first + 1..first + BLOCK_PORTS).all(free).then_some(lock)
+    (first + 1..first + BLOCK_PORTS).all(is_free).then_some(lock)
+}
+
+/// Whether nothing listens on a port.
+///
+/// The probe does not listen itself: a child that another thread is starting holds a copy of the
+/// socket until it executes its program, and only a listening socket keeps others from the port.
+fn is_free(port: u16) -> bool {
+    let probe = || {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, port)).into())
+    };
+    probe().is_ok()
 }
