Entry tests: ports come from the testbed's blocks

Cause: the entry's rig had its own copy of the testbed's blocks and a lock that probes and starts of the entry took in turn.

Change: the testbed's `PortBlock`, whose probes need no lock; the copy and the lock are gone.

Measured: `cargo test -p agatestair-entry` passes once, beside builds and tests of others. The fault was not seen here; the testbed's test shows it.

--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -5,17 +5,18 @@
 pub mod caller;
 pub mod control;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use agatestair_schema::platform::PlatformFaults;
 use agatestair_schema::settings::StandinSettings;
 use agatestair_schema::standins::{EndpointFaults, RunPage, RunRecord};
 use agatestair_standins::{Recorder, StandinDeployment};
+use agatestair_testbed::PortBlock;
 use serde::Serialize;
 use serde_json::{Value, json};
 
@@ -224,50 +225,14 @@
     }
 }
 
-/// Locked while a process is spawned, because the child holds this process's sockets until `exec`.
-static SPAWNING: Mutex<()> = Mutex::new(());
-/// First port of the first block; all blocks are below the ephemeral port range.
-const FIRST_PORT: u32 = 10_000;
-/// Ports per block. The testbed uses the same blocks.
-const BLOCK_PORTS: u32 = 200;
-/// Number of blocks.
-const BLOCKS: u32 = 110;
-
-/// A reserved block of ports; the listener on its first port keeps other processes out.
-struct PortBlock {
-    _lock: TcpListener,
-    first: u32,
-}
-
-impl PortBlock {
-    fn reserve() -> Self {
-        let start = std::process::id().wrapping_mul(7);
-        let blocks = (0..BLOCKS).map(|count| start.wrapping_add(count) % BLOCKS);
-        let mut free = blocks.filter_map(|block| {
-            let first = FIRST_PORT + block * BLOCK_PORTS;
-            Some(Self { _lock: bind(first).ok()?, first })
-        });
-        free.next().expect("a block of ports is free")
-    }
-}
-
-fn bind(port: u32) -> std::io::Result<TcpListener> {
-    TcpListener::bind(("127.0.0.1", u16::try_from(port).expect("port fits in u16")))
-}
-
 /// A free local address from the block of ports reserved by this process.
 pub fn free_address() -> SocketAddr {
-    static BLOCK: OnceLock<PortBlock> = OnceLock::new();
-    static NEXT: AtomicU32 = AtomicU32::new(1);
-    let _guard = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
-    let first = BLOCK.get_or_init(PortBlock::reserve).first;
-    loop {
-        let count = NEXT.fetch_add(1, Ordering::Relaxed);
-        assert!(count < BLOCK_PORTS, "no port left in the block");
-        if let Ok(listener) = bind(first + count) {
-            return listener.local_addr().expect("bound");
-        }
-    }
+    static BLOCK: Mutex<Option<PortBlock>> = Mutex::new(None);
+    let mut block = BLOCK.lock().expect("no test panics with the lock");
+    let block =
+        block.get_or_insert_with(|| PortBlock::reserve().expect("a block of ports is free"));
+    let address = block.allocate_address().expect("the block has ports left");
+    address.parse().expect("an address")
 }
 
 fn standin_settings(
@@ -341,7 +306,6 @@
     } else {
         Stdio::inherit()
     };
-    let _guard = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
     let child = Command::new(env!("CARGO_BIN_EXE_agatestair-entry"))
         .arg("--config")
         .arg(&path)
