Fault matrix: a failed cell keeps the history of each request

Cause: the cell endpoint-hangs@lease-take failed now and then; the logs of its processes say nothing of a request that ends by its caller, and debug logs changed the timing.

Change: beside the logs, requests.txt holds each attempt of a caller, its runs at endpoints and the entry's explanation, read after the cell has ended.

--- a/crates/testbed/src/matrix/cell.rs
+++ b/crates/testbed/src/matrix/cell.rs
@@ -17,6 +17,7 @@
 use super::fault::{FAULT_INSTANCE, Fault};
 use super::probe::ListsProbe;
 use super::step::{STEP_INSTANCE, Step, set_all_faults};
+use super::trace::write_trace;
 use super::traffic::{Attempts, Traffic, UNKNOWN_CODE, completion_request, service_call, targets};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -162,7 +163,8 @@
     cell.step.restore(&mut testbed)?;
     let recovered = wait_serving(&testbed, cell.seed + 1_000_000);
     let records = Records::read(&testbed.client, &testbed.addresses.recorder)?;
-    result.counts = check(&records, &caller_records(&cell, &testbed, &requests));
+    let callers = caller_records(&cell, &testbed, &requests);
+    result.counts = check(&records, &callers);
     check_unsettled(&requests, &records, &mut result.counts);
     if let Some(probe) = probe {
         probe.finish(&records, &mut result.counts);
@@ -170,6 +172,7 @@
     let failed = recovered.is_err() || !result.counts.is_clean();
     if failed && cell.disabled.is_empty() {
         testbed.keep_folder();
+        write_trace(&testbed, &callers, &records)?;
     }
     recovered
 }
--- a/crates/testbed/src/matrix/mod.rs
+++ b/crates/testbed/src/matrix/mod.rs
@@ -8,6 +8,7 @@
 mod probe;
 mod run;
 mod step;
+mod trace;
 mod traffic;
 
 pub use cell::{Cell, CellResult, run_cell};
