Completions at engines that never begin get a further attempt in time

Callers saw: a completion sent to an engine that takes it and never answers ended only when the caller gave up (8 s in the fault matrix).

Cause: a second attempt needed more than three overtakings by later requests, or an engine that is known to be slow. One that hangs gives no figures, and with little traffic nothing overtakes; the entry itself gives up after 10 s.

Change: a completion of which no running attempt has begun after the plan's target to the first token, or three times what the engine usually takes, but at most a quarter of its time to the deadline, gets a further attempt within the hedge budget and the greatest number of attempts. If all engines with room already have one, the first attempt is replaced.

Why it works: the time runs without other requests and without figures of the engine; two engines that hang cost two targets.

Measured: requests_at_silent_engines_begin_in_time (1 or 2 silent engines of 3) had no first token after 25 s, now within a target for each silent engine and one more; response_survives_engines_that_never_begin was refused at its deadline of 8 s, with two hanging engines of two it now completes. cargo test -p agatestair-policy -p agatestair-entry: all passed. Not run: agatestair-load, so the extra work on a busy fleet is bounded by test only.

Not covered: a prompt that is read apart at an engine that hangs, and calls of plain services, still wait for their bounds.

--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -200,6 +200,30 @@
     Ok(())
 }
 
+#[gtest]
+fn response_survives_engines_that_never_begin() -> Result<()> {
+    for hanging in [&["engine0-1"][..], &["engine0-1", "engine1-1"]] {
+        let rig =
+            Rig::start(RigSettings { first_ms: 500, deadline_ms: 8000, ..RigSettings::default() });
+        for engine in hanging {
+            rig.set_endpoint_faults(engine, &json!({"hang": 1}));
+        }
+        let hung = || rig.runs().iter().filter(|run| run.outcome == RunOutcome::Hung).count();
+        // No later request overtakes the one that hangs.
+        for index in 0..40 {
+            let prompt = format!("hang {index}");
+            let mut stream = EventStream::open(rig.entry.address, &prompt, 200);
+            expect_that!(stream.read_to_end(), eq(StreamEnd::Complete), "{:?}", stream.error);
+            expect_that!(stream.text, eq(&answer_text(MODEL, &prompt, 200)));
+            if hung() == hanging.len() {
+                break;
+            }
+        }
+        expect_that!(hung(), eq(hanging.len()));
+    }
+    Ok(())
+}
+
 #[gtest]
 fn response_that_cannot_continue_is_visibly_truncated() -> Result<()> {
     let rig = Rig::start(RigSettings { engines: 1, ..RigSettings::default() });
--- a/crates/entry/tests/support/control.rs
+++ b/crates/entry/tests/support/control.rs
@@ -54,7 +54,7 @@
         });
         let fleet = FleetView { version: 1, endpoints: engines.chain(services).collect() };
         Self::start_with(State {
-            lists: lists(1, settings.store_down, settings.deadline_ms, settings.call_ms),
+            lists: lists(1, settings),
             fleet,
             directory: Vec::new(),
             fresh: true,
@@ -126,8 +126,9 @@
     }
 
     /// Sends new lists with this revision.
-    pub fn set_lists(&self, revision: u64, store_down: &str) {
-        self.change(|state| state.lists = lists(revision, store_down, 25_000, 4000));
+    pub fn set_lists(&self, revision: u64, store_down: &'static str) {
+        let settings = RigSettings { store_down, ..RigSettings::default() };
+        self.change(|state| state.lists = lists(revision, &settings));
     }
 
     /// Changes the state of an endpoint.
@@ -231,12 +232,13 @@
     }
 }
 
-fn lists(revision: u64, store_down: &str, deadline_ms: u64, call_ms: u64) -> Value {
+fn lists(revision: u64, settings: &RigSettings) -> Value {
+    let RigSettings { store_down, first_ms, deadline_ms, call_ms, .. } = settings;
     let hash: String = Sha256::digest(API_KEY).iter().map(|byte| format!("{byte:02x}")).collect();
     let other: String = Sha256::digest("other").iter().map(|byte| format!("{byte:02x}")).collect();
     let plan = |name: &str, priority: u32| {
         json!({
-            "name": name, "priority": priority, "first_ms": 5000, "token_ms": 500,
+            "name": name, "priority": priority, "first_ms": first_ms, "token_ms": 500,
             "deadline_ms": deadline_ms,
         })
     };
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -47,6 +47,8 @@
     pub disabled: &'static [&'static str],
     /// Lifetime of a `GET /v1/entries` response in milliseconds.
     pub answer_ms: u64,
+    /// Target time to the first token of a completion in milliseconds.
+    pub first_ms: u64,
     /// Deadline of a completion in milliseconds.
     pub deadline_ms: u64,
     /// Deadline of a call in milliseconds.
@@ -69,6 +71,7 @@
             store_down: "refuse",
             disabled: &[],
             answer_ms: 500,
+            first_ms: 5000,
             deadline_ms: 25_000,
             call_ms: 4000,
             patience_ms: 30_000,
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -175,7 +175,8 @@
     pub fn poll(&mut self, now: Moment, actions: &mut Vec<Action>) {
         self.refuse_expired(now);
         if self.settings.policy == PolicyName::Own {
-            if now.since(self.last_observed) >= TICK {
+            let observes = now.since(self.last_observed) >= TICK;
+            if observes {
                 self.observe(now);
                 self.refresh_all(now);
             } else if now.since(self.last_refresh) >= REFRESH && self.waiting() > 0 {
@@ -183,6 +184,9 @@
             }
             self.dispatch_all(now);
             self.hedge_all(now);
+            if observes {
+                self.hedge_silent(now);
+            }
         } else {
             self.dispatch_baseline(now);
         }
--- a/crates/policy/src/scheduler/hedge.rs
+++ b/crates/policy/src/scheduler/hedge.rs
@@ -6,13 +6,30 @@
 
 use crate::action::Purpose;
 use crate::fleet::PoolKey;
-use crate::keys::RequestKey;
+use crate::keys::{AttemptKey, RequestKey};
 use crate::moment::Moment;
+use crate::request::Work;
 use crate::scheduler::Scheduler;
 use crate::scheduler::place::Task;
-use crate::scheduler::state::{Request, Stage};
+use crate::scheduler::state::{Attempt, Request, Stage};
 use crate::settings::HedgeRule;
 
+/// Multiple of an engine's usual time to the first token after which an attempt counts as silent.
+const SILENT_FACTOR: f64 = 3.0;
+
+/// Part of the time until the deadline after which an attempt without a first token counts as
+/// silent, so that further attempts still fit.
+const SILENT_FRACTION: u32 = 4;
+
+/// Why a hedged attempt is started.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum HedgeCause {
+    /// The running attempt is slow.
+    Slow,
+    /// No running attempt has begun to answer in time.
+    Silent,
+}
+
 /// Engine time of a hedged attempt, in seconds.
 #[derive(Clone, Copy, Debug)]
 struct HedgeWork {
@@ -45,12 +62,49 @@
                 due && request.hedges == 0 && request.stage == Stage::Running
             })
         });
-        candidates.retain(|key| !self.hedge(now, *key));
+        candidates.retain(|key| !self.hedge(now, *key, HedgeCause::Slow));
         if matches!(self.settings.hedge.rule, HedgeRule::Progress(_)) {
             self.stragglers = candidates;
         }
     }
 
+    /// Starts hedged attempts of completions of which no running attempt has begun to answer in time.
+    /// Nothing need overtake them: with little traffic, no later request might.
+    pub(crate) fn hedge_silent(&mut self, now: Moment) {
+        if !matches!(self.settings.hedge.rule, HedgeRule::Progress(_)) {
+            return;
+        }
+        let silent = self.requests.iter().filter(|(_, request)| self.is_silent(now, request));
+        let silent: Vec<RequestKey> = silent.map(|(key, _)| key).collect();
+        for key in silent {
+            self.hedge(now, key, HedgeCause::Silent);
+        }
+    }
+
+    /// Whether no running attempt of a request has begun to answer in time, and a further one is
+    /// allowed.
+    fn is_silent(&self, now: Moment, request: &Request) -> bool {
+        matches!(request.facts.work, Work::Completion(_))
+            && request.stage == Stage::Running
+            && !request.live.is_empty()
+            && request.attempts + request.hedges < self.settings.max_attempts
+            && request.live.iter().all(|key| {
+                let attempt = &self.attempts[*key];
+                let waited = now.since(attempt.started);
+                attempt.first.is_none() && waited >= self.silent_limit(request, attempt)
+            })
+    }
+
+    /// Time after which an attempt without a first token counts as silent: the plan's target, or
+    /// longer at engines that usually take longer, as far as the deadline leaves time.
+    fn silent_limit(&self, request: &Request, attempt: &Attempt) -> Duration {
+        let slowdown = self.endpoints.get(attempt.endpoint).map_or(1.0, |e| e.slowdown);
+        let usual = attempt.expected * self.pools[request.pool].delay * slowdown;
+        let usual = Duration::from_secs_f64((usual * SILENT_FACTOR).clamp(0.0, 1e6));
+        let left = request.facts.deadline.since(attempt.started);
+        self.plans.plan(request.plan).first.max(usual).min(left / SILENT_FRACTION)
+    }
+
     /// Appends the running requests that have taken longer than the `delay` of their cohort.
     fn collect_overdue(
         &self,
@@ -94,18 +148,27 @@
     }
 
     /// Starts a hedged attempt of a request; returns whether it did.
-    fn hedge(&mut self, now: Moment, key: RequestKey) -> bool {
+    fn hedge(&mut self, now: Moment, key: RequestKey, cause: HedgeCause) -> bool {
         let request = &self.requests[key];
-        if !request.idempotent() || request.live.len() != 1 || !self.is_worthwhile(now, request) {
+        let slow = cause == HedgeCause::Slow;
+        if !request.idempotent()
+            || (slow && (request.live.len() != 1 || !self.is_worthwhile(now, request)))
+        {
             return false;
         }
-        if self.attempts[request.live[0]].purpose == Purpose::Prefill {
+        let is_prefill = |live: &AttemptKey| self.attempts[*live].purpose == Purpose::Prefill;
+        if request.live.iter().any(is_prefill) {
             return false;
         }
         let service = request.facts.service.clone();
         let pool = request.pool;
-        let Some(choice) = self.choose(now, key, Task::Whole) else { return false };
-        if self.endpoints[choice.endpoint].slowdown >= self.settings.eject.good_ratio {
+        let Some(choice) = self.choose(now, key, Task::Whole) else {
+            if !slow {
+                self.abandon_first(now, key);
+            }
+            return false;
+        };
+        if slow && self.endpoints[choice.endpoint].slowdown >= self.settings.eject.good_ratio {
             return false;
         }
         let charge = self.hedge_work(pool, key, choice.uncached);
@@ -121,6 +184,20 @@
         true
     }
 
+    /// Cancels the first of several silent attempts if its engine has room for another one and the
+    /// budget allows it. An engine may answer a new request although one hangs there.
+    fn abandon_first(&mut self, now: Moment, key: RequestKey) {
+        let request = &self.requests[key];
+        let [first, _, ..] = request.live[..] else { return };
+        let engine = self.endpoints.get(self.attempts[first].endpoint);
+        let has_room = engine.is_some_and(|engine| engine.has_room(now, &self.settings.engine));
+        let charge = self.hedge_work(request.pool, key, request.prompt());
+        let service = request.facts.service.clone();
+        if has_room && self.budgets(&service).hedge.left() >= charge.prompt + charge.output {
+            self.cancel(first);
+        }
+    }
+
     /// Upper bound of the engine time of a hedged attempt.
     fn hedge_work(&self, pool: PoolKey, key: RequestKey, uncached: u32) -> HedgeWork {
         let request = &self.requests[key];
--- a/crates/policy/tests/fake/mod.rs
+++ b/crates/policy/tests/fake/mod.rs
@@ -23,6 +23,9 @@
 /// Interval between load reports, and between share grants.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Target time to the first token of every plan.
+pub const FIRST_TARGET: Duration = Duration::from_secs(1);
+
 /// Engine time of one prompt token, in microseconds.
 const PREFILL_US: f64 = 15.0;
 
@@ -52,7 +55,7 @@
     let plan = |case: &PlanCase| Plan {
         name: case.name.to_owned(),
         priority: case.priority,
-        first_ms: 1000,
+        first_ms: FIRST_TARGET.as_millis() as u64,
         token_ms: 71,
         deadline_ms: 30_000,
         objective: 0.99,
--- a/crates/policy/tests/stragglers.rs
+++ b/crates/policy/tests/stragglers.rs
@@ -6,7 +6,7 @@
 
 use agatestair_policy::{Budget, BudgetSettings, HedgeRule, HedgeSettings, SchedulerSettings};
 use agatestair_schema::link::EndpointRole;
-use fake::{PlanCase, Simulation, completion, lists};
+use fake::{FIRST_TARGET, PlanCase, Simulation, completion, lists};
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, proptest};
 
@@ -90,6 +90,44 @@
     }
 }
 
+/// Engines that never answer, of three, and the number of output tokens of a request.
+struct SilentCase {
+    silent: usize,
+    output: u32,
+}
+
+const SILENT_CASES: [SilentCase; 4] = [
+    SilentCase { silent: 1, output: 24 },
+    SilentCase { silent: 2, output: 24 },
+    SilentCase { silent: 1, output: 1000 },
+    SilentCase { silent: 2, output: 1000 },
+];
+
+/// Each silent engine costs a request at most about the plan's target to the first token, although
+/// no later request overtakes it.
+#[gtest]
+fn requests_at_silent_engines_begin_in_time() {
+    for case in &SILENT_CASES {
+        let mut sim = Simulation::new(&SchedulerSettings::default(), &lists(&PLANS), 1);
+        sim.add_endpoints(3, EndpointRole::Mixed, 0);
+        sim.run(Duration::from_millis(500));
+        for endpoint in sim.endpoints.iter_mut().take(case.silent) {
+            endpoint.slowdown = f64::INFINITY;
+        }
+        let bound = FIRST_TARGET * (case.silent as u32 + 1);
+        for _ in 0..6 {
+            let deadline = sim.now + Duration::from_secs(30);
+            let request = completion("gold", "c", 400, case.output, deadline);
+            let key = sim.submit(0, request).expect("an idle fleet admits");
+            sim.run(Duration::from_secs(25));
+            let record = &sim.entries[0].records[&key];
+            let first = record.first_token.map(|first| first.since(record.submitted));
+            expect_that!(first, some(le(bound)), "{} silent", case.silent);
+            expect_that!(record.done, some(anything()), "{} silent", case.silent);
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
 
