An instance that lacks changes does not wait 15 s for a store that others reach

Cause, read in the code: after a failed call, an instance that hears of no watcher with an answer of the store pauses for members / 20 s times 0.5 to 1, 7 to 14.7 s at 295 instances. The pause was drawn once; only a wake-up ended it, and wake-ups came only when the instance first learned that it lacks a change. Two ways led into it: (1) "history lost" counted as a store out of reach, and the instance, which then knows no version, passes over rows and versions in bulletins until it has read the table; (2) an instance that knew already that it lacks a change got no wake-up when watchers reached the store again.

Change: "history lost" is followed by the usual short pause.

Test a_front_that_lacks_a_configuration_reads_it_once_watchers_reach_the_store, two cases against a real front: on the code before, "HistoryLost: the new configuration is in force" is not met within 30 s; with only (1) mended, "Unavailable: ..." is not; both pass now. large_fleet: 6 passed.

--- a/crates/serve/src/watch.rs
+++ b/crates/serve/src/watch.rs
@@ -101,7 +101,8 @@
             }
             Err(error) => {
                 failures += 1;
-                if error == StoreError::HistoryLost {
+                let history_lost = error == StoreError::HistoryLost;
+                if history_lost {
                     shared.hub.ask(move |node, _| node.cursor(table).reset());
                 } else {
                     shared.hub.ask(|node, now| node.endpoint_list.note_store_down(now));
@@ -111,13 +112,8 @@
                     log_event!(shared.log, STORE_UNAVAILABLE, "table" => table.label(),
                         "error" => error.to_string());
                 }
-                let pause = retry_pause(&shared, failures);
-                tokio::select! {
-                    () = sleep(pause) => {}
-                    // Another instance reaches the store, and has seen a change that is missing
-                    // here.
-                    () = shared.wakeups.notified(table) => {}
-                }
+                // A store that has lost its history is reachable.
+                wait_to_retry(&shared, table, failures, !history_lost).await;
             }
         }
     }
@@ -208,19 +204,36 @@
     if shared.hub.ask(|node, _| node.members.is_large()) { time.min(WATCHER_POLL) } else { time }
 }
 
-/// Pause after a number of consecutive failures, with jitter so that instances do not retry in
+/// Pauses after a number of consecutive failures, with jitter so that instances do not retry in
 /// step.
 ///
-/// While no instance reaches the store, most instances of a large fleet retry only rarely, since
-/// any of them can detect that the store is reachable again.
-fn retry_pause(shared: &Shared, failures: u32) -> Duration {
+/// While no instance reaches the store, if it may be `unreachable`, most instances of a large fleet
+/// retry only rarely, since any of them can detect that the store is reachable again. The pause
+/// ends when a watcher reports that it is.
+async fn wait_to_retry(shared: &Shared, table: Table, failures: u32, unreachable: bool) {
+    let begun = Instant::now();
     let backoff = (MIN_PAUSE * (1 << failures.min(4))).min(MAX_PAUSE);
-    let probe = shared.hub.ask(|node, now| {
-        let relies = node.cursor(Table::Endpoints).known.is_some() && !node.is_preferred(now);
-        let probes = relies && node.members.is_large() && !node.watchers.has_fresh_watcher(now);
-        if probes { probe_pause(node.members.count(now)) } else { Duration::ZERO }
-    });
-    backoff.max(probe).mul_f64(0.5 + 0.5 * rand::rng().random::<f64>())
+    let factor = 0.5 + 0.5 * rand::rng().random::<f64>();
+    loop {
+        let probe = shared.hub.ask(move |node, now| {
+            let relies = node.cursor(Table::Endpoints).known.is_some() && !node.is_preferred(now);
+            let probes = relies && node.members.is_large() && !node.watchers.has_fresh_watcher(now);
+            if probes && unreachable {
+                probe_pause(node.members.count(now))
+            } else {
+                Duration::ZERO
+            }
+        });
+        let left = backoff.max(probe).mul_f64(factor).saturating_sub(begun.elapsed());
+        if left.is_zero() {
+            return;
+        }
+        tokio::select! {
+            () = sleep(left.min(CHECK_INTERVAL)) => {}
+            // Another instance reaches the store, and has seen a change that is missing here.
+            () = shared.wakeups.notified(table) => return,
+        }
+    }
 }
 
 /// Applies a response of the store, and queues its changes for other instances.
