Large fleets stay within the connections that endpoints accept

Seen: attempts_of_all_instances_fit_an_endpoints_connections failed with 343 of 170. Before a stand-in that resets what is beyond its 170 connections, 173 of 343 instances that start together were reset, 35 before three of them. The request has been sent by then, so callers get 502. Cause: each instance used its part of an endpoint's connections, and at least one, whatever their number. Change: if an endpoint does not accept one connection from each instance, an instance uses an arc of the ring of endpoints. Three quarters of the connections are given out by arcs, the rest to instances whose endpoints accept no work; if most endpoints are lost, the ring is that of the others. All known instances count, also for fleets below that size, silent ones for a minute. A service that names no maxConns (or 0) is not divided, as before. Why it works: arcs start at distances of ring / instances, so that exactly as many instances have an endpoint as it has connections for.

--- a/crates/policy/src/assign.rs
+++ b/crates/policy/src/assign.rs
@@ -74,20 +74,23 @@
     names.sort_unstable();
     names.dedup();
     let rank = names.iter().position(|name| *name == entry).unwrap_or(0);
-    let ring = interleave_domains(pool);
+    let hashed: Vec<(&str, u64)> =
+        pool.iter().map(|item| (item.domain, name_hash(item.name))).collect();
+    let ring = interleave_domains(&hashed);
     let start = rank * pool.len() / names.len();
     (0..size).map(|step| ring[(start + step) % ring.len()]).collect()
 }
 
-/// Orders a pool by hash, interleaving the failure domains.
-fn interleave_domains(pool: &[SubsetItem<'_>]) -> Vec<usize> {
+/// Orders endpoints, each given by its failure domain and the hash of its name, by hash,
+/// interleaving the failure domains.
+pub(crate) fn interleave_domains(pool: &[(&str, u64)]) -> Vec<usize> {
     let mut order: Vec<usize> = (0..pool.len()).collect();
-    order.sort_by_cached_key(|index| (pool[*index].domain, name_hash(pool[*index].name)));
+    order.sort_unstable_by_key(|index| pool[*index]);
     let mut turns: Vec<(usize, &str, usize)> = Vec::with_capacity(pool.len());
     let mut turn = 0;
     for (position, index) in order.iter().enumerate() {
-        let domain = pool[*index].domain;
-        let first = position == 0 || pool[order[position - 1]].domain != domain;
+        let domain = pool[*index].0;
+        let first = position == 0 || pool[order[position - 1]].0 != domain;
         turn = if first { 0 } else { turn + 1 };
         turns.push((turn, domain, *index));
     }
--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -17,6 +17,7 @@
 mod refusals;
 mod request;
 mod select;
+mod subset;
 
 pub use availability::{Availability, MAX_PAUSE};
 pub use cache::CacheModel;
@@ -26,6 +27,7 @@
 pub use load::{Load, PEER_LIFETIME, PeerLoads};
 pub use rate_limit::{LimitReport, Observation, RateLimit, STANDING_AGE};
 pub use request::{Choice, Denial, DenialCause, PlacementRequest, PromptPart};
+pub use subset::Division;
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
--- a/crates/policy/src/board/choose.rs
+++ b/crates/policy/src/board/choose.rs
@@ -233,6 +233,7 @@
                 && (stage.is_none() || endpoint.facts.stage == stage)
                 && !request.tried.contains(key)
                 && endpoint.own.attempts < request.max_concurrent
+                && request.subset.as_ref().is_none_or(|subset| subset.contains(key))
                 && endpoint.limit.allows()
                 && !(yields && endpoint.limit.rate().is_some())
         };
--- a/crates/policy/src/board/request.rs
+++ b/crates/policy/src/board/request.rs
@@ -1,5 +1,6 @@
 //! Placement requests and their results.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -48,6 +49,8 @@
     pub tried: Vec<EndpointKey>,
     /// Greatest number of attempts that this instance may have at one endpoint.
     pub max_concurrent: u32,
+    /// Endpoints that this instance uses, `None` if it uses all.
+    pub subset: Option<HashSet<EndpointKey>>,
     /// Work that other instances may have placed since their last reports, as time at one endpoint.
     pub unseen: Duration,
     /// Priority among the requests of a service; 0 is the most urgent.
--- a/crates/serve/src/configuration.rs
+++ b/crates/serve/src/configuration.rs
@@ -118,8 +118,8 @@
 pub struct Service {
     /// Name of the service.
     pub name: Arc<str>,
-    /// Number of connections that one endpoint accepts in total.
-    pub connections: u32,
+    /// Number of connections that one endpoint accepts in total, if the service names one.
+    pub connections: Option<u32>,
     /// Properties of its engines, if it is a model service.
     pub engine: Option<EngineFacts>,
 }
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -218,6 +218,16 @@
         sharers.map(|(key, _)| *key)
     }
 
+    /// Hashes of the names of the other instances that may have connections to endpoints: all that
+    /// are known, since silent ones may only be cut off, except those that have shut down.
+    pub fn connected(&self, now: Moment) -> impl Iterator<Item = u64> {
+        let gone = move |known: &Known| {
+            known.state.leaving && now.since(known.heard.unwrap_or(known.since)) >= QUIET
+        };
+        let connected = self.known.iter().filter(move |(_, known)| !gone(known));
+        connected.map(|(key, _)| *key)
+    }
+
     /// The other instances of a failure domain if `local`, else those of all other domains.
     pub fn group(&self, domain: &str, local: bool) -> Group {
         let members =
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -331,7 +331,8 @@
         }
     }
 
-    /// Chooses the endpoint of an attempt and adds the attempt to the endpoint's load.
+    /// Chooses the endpoint of an attempt and adds the attempt to the endpoint's load. `connections`
+    /// is the number that an endpoint accepts from all instances together, if the service names one.
     ///
     /// # Errors
     ///
@@ -340,14 +341,18 @@
         &mut self,
         request: &PlacementRequest,
         search: Search,
-        connections: u32,
+        connections: impl Into<Option<u32>>,
         now: Moment,
     ) -> Result<Placement, Denial> {
         let mut request = request.clone();
         request.domain = self.settings.own.domain.clone();
-        request.max_concurrent = self.connection_share(connections, now);
         request.unseen = self.unseen();
         let share = self.earn_limits(&request.service, now);
+        self.share_connections(&mut request, connections.into(), now);
+        if let (Search::Copy(at), Some(subset)) = (search, &mut request.subset) {
+            // The engine was in the subset when it received the copy.
+            subset.insert(at);
+        }
         let choice = match search {
             Search::Plain => self.board.choose_plain(&request, now),
             // Engines that do not separate prefill and decode are chosen like plain services.
@@ -375,13 +380,11 @@
         &self,
         request: &PlacementRequest,
         run: EndpointKey,
-        connections: u32,
+        connections: Option<u32>,
         now: Moment,
     ) -> Option<Backup> {
-        let request = PlacementRequest {
-            max_concurrent: self.connection_share(connections, now),
-            ..request.clone()
-        };
+        let mut request = request.clone();
+        self.share_connections(&mut request, connections, now);
         let key = self.board.choose_backup(&request, run, now)?;
         Some(Backup { key, address: self.board.endpoints[key].facts.address })
     }
--- a/crates/serve/src/node/budgets.rs
+++ b/crates/serve/src/node/budgets.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use agatestair_policy::board::{Division, PlacementRequest};
 use agatestair_policy::{Moment, RetrySettings};
 
 use crate::node::Node;
@@ -13,17 +14,53 @@
 /// known ones.
 const SPARE_DIVISOR: usize = 3;
 
+/// Number of connections to an endpoint of a service that names no maximum, divided among the
+/// instances. Each instance uses at least one.
+const UNNAMED_CONNECTIONS: u32 = 64;
+
+/// This instance's part of the connections that an endpoint accepts from all instances together.
+#[derive(Clone, Copy, Debug)]
+struct ConnectionShare {
+    /// Number of connections to each endpoint that this instance uses.
+    each: u32,
+    /// How the endpoints are divided if an endpoint does not accept one connection from each
+    /// instance.
+    division: Option<Division>,
+}
+
 impl Node {
-    /// Number of connections that this instance may open to one endpoint.
-    pub(super) fn connection_share(&self, connections: u32, now: Moment) -> u32 {
-        let sharers = u32::try_from(self.sharers(now)).unwrap_or(u32::MAX);
-        (connections / sharers).max(1)
+    /// This instance's part of `connections`, the number that an endpoint accepts in total, if the
+    /// service names one.
+    fn connection_share(&self, connections: Option<u32>, now: Moment) -> ConnectionShare {
+        let instances = self.members.connected(now).count() + 1;
+        let sharers = with_spare(instances);
+        let total = connections.unwrap_or(UNNAMED_CONNECTIONS) as usize;
+        if connections.is_none() || instances <= total {
+            let each = u32::try_from(total / sharers).unwrap_or(u32::MAX).max(1);
+            return ConnectionShare { each, division: None };
+        }
+        let rank = self.members.connected(now).filter(|other| *other < self.name_hash).count();
+        let users = total * instances / sharers;
+        let division = Division { instances, rank, users, spare: total - users };
+        ConnectionShare { each: 1, division: Some(division) }
     }
 
-    /// Number of instances that share a budget, including ones that may still join.
+    /// Restricts a placement to this instance's part of the endpoints' connections.
+    pub(super) fn share_connections(
+        &self,
+        request: &mut PlacementRequest,
+        connections: Option<u32>,
+        now: Moment,
+    ) {
+        let share = self.connection_share(connections, now);
+        request.max_concurrent = share.each;
+        let subset = |division| self.board.subset(&request.service, &division, &request.tried, now);
+        request.subset = share.division.map(subset);
+    }
+
+    /// Number of instances that share the budget of retries, including ones that may still join.
     fn sharers(&self, now: Moment) -> usize {
-        let known = self.members.sharers(now).count() + 1;
-        (known + known.div_ceil(SPARE_DIVISOR)).max(MIN_SHARERS)
+        with_spare(self.members.sharers(now).count() + 1)
     }
 
     /// Counts the first attempt of a request to a service, which adds to its retry budget.
@@ -44,3 +81,8 @@
         RetrySettings { slack, ..self.settings.retry }
     }
 }
+
+/// Number of instances that a budget is divided by if this many are known.
+fn with_spare(known: usize) -> usize {
+    (known + known.div_ceil(SPARE_DIVISOR)).max(MIN_SHARERS)
+}
--- a/crates/serve/tests/components.rs
+++ b/crates/serve/tests/components.rs
@@ -154,7 +154,7 @@
         route("xy", "a.example", "/x/y/", &[("s", 1)]),
         route("other", "b.example", "/x/", &[("s", 1)]),
     ];
-    let services = vec![Service { name: "s".into(), connections: 1, engine: None }];
+    let services = vec![Service { name: "s".into(), connections: Some(1), engine: None }];
     let configuration = Configuration::new(1, routes, services, Limits::default());
     for case in &ROUTES {
         let found = configuration.route(case.host, case.path).map(|route| route.name.to_string());
