Fault proxy: dropped routes close their ports

Cause: the thread of the proxy never ended, whoever still had its routes.

Change: the routes hold a guard; the proxy ends when their last clone is dropped.

--- a/crates/standins/src/proxy/route.rs
+++ b/crates/standins/src/proxy/route.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::ops::Deref;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
@@ -12,6 +13,7 @@
 use tokio::net::TcpListener as AsyncListener;
 use tokio::runtime::Builder;
 use tokio::sync::watch;
+use tokio_util::sync::{CancellationToken, DropGuard};
 
 use super::relay::relay;
 
@@ -42,8 +44,20 @@
     pub faults: watch::Sender<RouteFaults>,
 }
 
-/// Routes by name.
-pub type ProxyRoutes = Arc<BTreeMap<String, Arc<Route>>>;
+/// Routes by name. The proxy closes its ports and connections when the last clone is dropped.
+#[derive(Clone)]
+pub struct ProxyRoutes {
+    routes: Arc<BTreeMap<String, Arc<Route>>>,
+    _running: Arc<DropGuard>,
+}
+
+impl Deref for ProxyRoutes {
+    type Target = BTreeMap<String, Arc<Route>>;
+
+    fn deref(&self) -> &Self::Target {
+        &self.routes
+    }
+}
 
 impl Route {
     /// Replaces the active faults.
@@ -80,7 +94,8 @@
     }
 }
 
-/// Listens on all routes and relays their connections on a background thread.
+/// Listens on all routes and relays their connections on a background thread, until the routes are
+/// dropped.
 ///
 /// # Errors
 ///
@@ -106,15 +121,17 @@
         listeners.push((listener, route));
     }
     let runtime = Builder::new_current_thread().enable_all().build()?;
+    let running = CancellationToken::new();
+    let ended = running.clone();
     thread::Builder::new().name("proxy".to_owned()).spawn(move || {
         runtime.block_on(async {
             for (listener, route) in listeners {
                 tokio::spawn(accept(listener, route));
             }
-            std::future::pending::<()>().await;
+            ended.cancelled().await;
         });
     })?;
-    Ok(Arc::new(routes))
+    Ok(ProxyRoutes { routes: Arc::new(routes), _running: Arc::new(running.drop_guard()) })
 }
 
 async fn accept(listener: TcpListener, route: Arc<Route>) {
