A resumption that hangs is given up in time for a further run

Callers saw: a stream broke, its resumption went to an engine that took it and never answered, and the stream ended unfinished at the route's timeout, although the route allowed a further run and another engine was idle.

Cause: the first attempt's answer must begin within three times the expected time or the objective, at most half of the time left, if another run may follow (generate.rs). A resumed run had no such bound but the deadline.

Change: resumed runs keep the same bound, response_limit, if a further run may follow. The last run that the route allows, and copies of streams that may not run again, wait until the deadline as before.

Why it works: the hung run counts as a run and its endpoint as tried and failed, so that the loop in recover goes on.

--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -152,6 +152,12 @@
     }
 }
 
+/// Time within which the response head of an attempt must arrive if another attempt may follow.
+pub fn response_limit(call: &Call, guard: &AttemptGuard) -> Duration {
+    let usual = guard.placement.expected.mul_f64(TIMEOUT_FACTOR).max(call.route.objective);
+    usual.min(call.remaining().mul_f64(ATTEMPT_SHARE))
+}
+
 /// Time without a response after which an engine's reachability is probed.
 fn probe_delay(guard: &AttemptGuard) -> Duration {
     guard.placement.expected.mul_f64(PROBE_FACTOR).max(MIN_PROBE_DELAY)
@@ -171,10 +177,9 @@
         Some(handle) => Phase::Decode { source: handle.address, handle: &handle.name },
         None => Phase::Whole,
     };
-    let time_limit = guard.placement.expected.mul_f64(TIMEOUT_FACTOR).max(call.route.objective);
-    let time_limit = time_limit.min(call.remaining().mul_f64(ATTEMPT_SHARE));
     let deadline = call.deadline;
     let retryable = call.route.kind.may_repeat() && call.runs + 1 < call.route.attempts;
+    let time_limit = response_limit(call, guard);
     let cutoff = if retryable { (Instant::now() + time_limit).min(deadline) } else { deadline };
     let (shared, probe_delay) = (call.shared.clone(), probe_delay(guard));
     let quarantined =
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -19,6 +19,7 @@
 use crate::connection::Connection;
 use crate::crash::{note_broken, note_survived};
 use crate::events::{ATTEMPT_FAILED, RESUMED, STREAMED};
+use crate::generate::response_limit;
 use crate::node::Search;
 use crate::reach::until_unreachable;
 use crate::send::{EndpointResponse, SendOutcome};
@@ -351,8 +352,10 @@
     let placement = call.place(search);
     let mut guard = placement.map_err(|_| ResumeError::Exhausted)?;
     let last = events.last.clone();
+    let retryable = call.route.kind.may_repeat() && call.runs + 1 < call.route.attempts;
     let deadline = call.deadline;
-    let sent = timeout_at(deadline, call.send(&guard, phase, last.as_deref())).await;
+    let cutoff = if retryable { Instant::now() + response_limit(call, &guard) } else { deadline };
+    let sent = timeout_at(cutoff.min(deadline), call.send(&guard, phase, last.as_deref())).await;
     let response = match sent {
         Ok(SendOutcome::Responded(response))
             if response.status == StatusCode::OK
@@ -371,6 +374,12 @@
             }
             return Err(ResumeError::Failed);
         }
+        Err(_) if Instant::now() < deadline => {
+            call.runs += 1;
+            call.note_failed(&guard, FailureKind::Broken, "no answer in time");
+            note_broken(call, &guard, None).await;
+            return Err(ResumeError::Failed);
+        }
         Err(_) => return Err(ResumeError::Exhausted),
     };
     call.runs += 1;
