Digests fit the sender's link, whatever happens

Cause: nothing bounds a digest. It grew with the members, the loads of each, and with every observer's own report of a crash or a limit.

Change: a digest lists the names that it refers to once (layout 6). What several instances report of a crash, a limit or a part is merged at the collector; ages count the time that it waits there. Digests take at most 0.4 of the link, saved up for half a second, and never more than a datagram holds; news goes first, in at most half of a digest while there is more, then the oldest, and the rest is sent later (agatestair_serve_digests_partial_total). Lists of a decoded datagram are bounded apart from the datagram's size, since their elements take more memory than bytes.

Why it works: room.rs counts bytes as they are encoded, names included, before an item is taken; what is not taken stays.

New property tests: round trip of any digest, no panic on any bytes, bytes within half of any link, all is told once there is room. The check, its bound and its storm are as before; DigestCase got fields for the harsher ones, with the former values in QUIET.

--- a/crates/serve/src/datagram.rs
+++ b/crates/serve/src/datagram.rs
@@ -11,6 +11,7 @@
 use bincode::{Decode, Encode};
 
 use crate::cursor::TableUpdate;
+use crate::digest::Digest;
 use crate::members::Member;
 use crate::store::{Row, Table};
 use crate::wire::WireError;
@@ -18,6 +19,10 @@
 /// Largest size of a datagram in bytes: the UDP limit less headers.
 pub const MAX_BYTES: usize = 60 * 1024;
 
+/// Largest size in bytes of the lists of a decoded datagram, whose elements take more memory than
+/// bytes of a datagram.
+const MAX_DECODED: usize = 32 * MAX_BYTES;
+
 /// Paces are sent as integers in units of one hundredth.
 const PACE_SCALE: f64 = 100.0;
 
@@ -25,7 +30,7 @@
 const RATE_SCALE: f64 = 1000.0;
 
 /// Version of the layout, the first byte of a datagram; datagrams with another one are rejected.
-const LAYOUT: u8 = 5;
+const LAYOUT: u8 = 6;
 
 /// One datagram.
 #[derive(Clone, Debug, Decode, Encode, PartialEq)]
@@ -67,7 +72,7 @@
         if layout != LAYOUT {
             return Err(wire_error(format!("layout version {layout}, expected {LAYOUT}")));
         }
-        let config = bincode::config::standard().with_limit::<MAX_BYTES>();
+        let config = bincode::config::standard().with_limit::<MAX_DECODED>();
         let decoded = bincode::decode_from_slice::<Self, _>(&bytes[1..], config);
         decoded.map(|(datagram, _)| datagram).map_err(|error| wire_error(error.to_string()))
     }
@@ -205,7 +210,6 @@
 }
 
 impl Encode for Pulse {
-    // One byte for all flags: a collector sends hundreds of pulses in one round.
     fn encode<E: Encoder>(&self, encoder: &mut E) -> Result<(), EncodeError> {
         let bits = [
             (self.ready, part::READY),
@@ -326,20 +330,6 @@
     pub fn is_empty(&self) -> bool {
         self.crashes.is_empty() && self.verdicts.is_empty() && self.survivals.is_empty()
     }
-
-    /// Adds a later report of the same instance.
-    pub fn merge(&mut self, later: Self) {
-        let Self { crashes, verdicts, survivals } = later;
-        let process = |crash: &PulseCrash| (crash.endpoint, crash.born);
-        let part = |verdict: &PulseVerdict| (verdict.service, verdict.part);
-        self.crashes.retain(|old| crashes.iter().all(|new| process(new) != process(old)));
-        self.crashes.extend(crashes);
-        self.verdicts.retain(|old| verdicts.iter().all(|new| part(new) != part(old)));
-        self.verdicts.extend(verdicts);
-        let part = |survival: &PulseSurvival| (survival.service, survival.part);
-        self.survivals.retain(|old| survivals.iter().all(|new| part(new) != part(old)));
-        self.survivals.extend(survivals);
-    }
 }
 
 /// A crash of an endpoint, see [`CrashReport`].
@@ -448,34 +438,11 @@
     }
 }
 
-fn millis(time: Duration) -> u32 {
+/// Whole milliseconds, saturating.
+pub fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
-/// Reports that a collector forwards to its own failure domain or to the collectors of others.
-#[derive(Clone, Debug, Decode, Encode, PartialEq)]
-pub struct Digest {
-    /// Hash of the collector's name.
-    pub sender: u64,
-    /// CPU share of the collector in thousandths of a core.
-    pub weight: u32,
-    /// Hash of the name of the collector's failure domain.
-    pub domain: u64,
-    /// Pulses of single instances.
-    pub pulses: Vec<Pulse>,
-    /// Sums over all instances of a domain.
-    pub sums: Vec<DomainSums>,
-}
-
-/// Load of all instances of a failure domain, at the endpoints where it has changed lately.
-#[derive(Clone, Debug, Decode, Encode, PartialEq)]
-pub struct DomainSums {
-    /// Hash of the domain's name.
-    pub domain: u64,
-    /// Summed loads by endpoint.
-    pub loads: Vec<PulseLoad>,
-}
-
 /// Changes and versions of the store's tables, sent by a watcher.
 #[derive(Clone, Debug, Decode, Encode, PartialEq)]
 pub struct Bulletin {
--- a/crates/serve/src/digests.rs
+++ b/crates/serve/src/digests.rs
@@ -27,7 +27,8 @@
     let mut last_sent = Instant::now();
     let mut collecting = false;
     loop {
-        let digests = shared.hub.ask(move |node, now| node.digests(round, now));
+        let link = shared.settings().machine.link_mbps;
+        let digests = shared.hub.ask(move |node, now| node.digests(round, link, now));
         if digests.is_some() != collecting {
             collecting = digests.is_some();
             let members = digests.as_ref().map(|[(_, local), _]| local.len());
@@ -35,8 +36,9 @@
         }
         let heartbeat = last_sent.elapsed() >= HEARTBEAT;
         for (digest, audience) in digests.into_iter().flatten() {
-            let empty =
-                digest.pulses.is_empty() && digest.sums.iter().all(|sums| sums.loads.is_empty());
+            let empty = digest.pulses.is_empty()
+                && digest.sums.iter().all(|sums| sums.loads.is_empty())
+                && digest.news.is_empty();
             if heartbeat || !empty {
                 metrics::counter!("agatestair_serve_digests_total").increment(1);
                 send_all(&shared, &socket, &Datagram::Digest(digest), &audience).await;
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -19,6 +19,7 @@
 mod crash;
 mod cursor;
 mod datagram;
+mod digest;
 mod digests;
 mod directory;
 mod endpoint_list;
@@ -29,6 +30,7 @@
 mod hub;
 mod listen;
 mod members;
+mod news;
 mod node;
 mod open_requests;
 mod outbox;
@@ -40,6 +42,7 @@
 mod relay;
 mod reload;
 mod response;
+mod room;
 mod run;
 mod send;
 mod shared;
@@ -61,10 +64,10 @@
 pub use connection::{Connection, ConnectionSettings, SendError, exchange};
 pub use cursor::{Cursor, TableUpdate};
 pub use datagram::{
-    Bulletin, BulletinTable, BulletinUpdate, Datagram, Digest, DomainSums, Identity, Pulse,
-    PulseCrash, PulseCrashes, PulseLimit, PulseLimits, PulseLoad, PulseSurvival, PulseVerdict,
-    TableState,
+    Bulletin, BulletinTable, BulletinUpdate, Datagram, Identity, Pulse, PulseCrash, PulseCrashes,
+    PulseLimit, PulseLimits, PulseLoad, PulseSurvival, PulseVerdict, TableState,
 };
+pub use digest::{Digest, DigestNews, DomainSums};
 pub use endpoint_list::EndpointList;
 pub use explain::explain;
 pub use hub::Hub;
@@ -76,7 +79,7 @@
 pub use sharing::Sharing;
 pub use store::{Changes, LocalFuture, Row, RowKey, StoreClient, StoreError, Table, Transaction};
 pub use stream::{EventSplitter, StreamError};
-pub use token_bucket::TokenBucket;
+pub use token_bucket::{LinkShare, TokenBucket};
 pub use watchers::{Rank, Watchers};
 pub use wire::{
     CallFacts, DirectoryQuery, HandleName, Outbound, Paths, Phase, Prompt, ResponseFacts, WireCall,
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -167,6 +167,7 @@
     pub collectors: Collectors,
     /// Bandwidth that is left for rows in bulletins.
     pub bulletin_bucket: TokenBucket,
+    digest_bucket: TokenBucket,
     /// Prompt parts that crash endpoints.
     pub quarantine: Quarantine,
     /// Reports that this instance has collected and not yet forwarded.
@@ -211,6 +212,7 @@
             watchers: Watchers::default(),
             collectors: Collectors::default(),
             bulletin_bucket: TokenBucket::default(),
+            digest_bucket: TokenBucket::new(gossip::DIGESTS),
             quarantine: Quarantine::default(),
             collection: Collection::default(),
             name_hash: name_hash(&settings.own.name),
--- a/crates/serve/src/node/gossip.rs
+++ b/crates/serve/src/node/gossip.rs
@@ -7,15 +7,25 @@
 use agatestair_policy::board::{EndpointReport, PromptPart};
 use agatestair_policy::{EndpointKey, Moment, QuarantineChange};
 
-use crate::datagram::{Digest, DomainSums, Pulse, PulseLoad};
+use crate::datagram::{MAX_BYTES, Pulse, PulseLoad};
+use crate::digest::{Digest, DigestNews, DomainSums};
 use crate::members::{Group, Member, MemberState};
 use crate::node::{LimitChange, Node};
+use crate::room::Room;
+use crate::token_bucket::LinkShare;
 use crate::watchers::Rank;
 
 /// Time for which datagrams repeat that an endpoint announced its shutdown, since some of them may
 /// be lost.
 const LEAVERS_REPEAT: Duration = Duration::from_secs(2);
 
+/// Share of the link for digests.
+pub(super) const DIGESTS: LinkShare =
+    LinkShare { fraction: 0.4, burst: Duration::from_millis(500) };
+
+/// Fraction of the bytes for digests that those to other domains may take.
+const REMOTE_SHARE: f64 = 0.25;
+
 /// Changes that a received pulse made.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PulseChanges {
@@ -121,7 +131,7 @@
         let alive = local.iter().map(|(rank, _)| *rank).chain([own]).collect();
         let chosen = self.collectors.choose(own, alive, now);
         if self.collectors.is_collector(own, now) {
-            self.collection.add_local(report);
+            self.collection.add_local(report, now);
             return Vec::new();
         }
         let collectors = local.into_iter().filter(|(rank, _)| chosen.contains(rank));
@@ -132,41 +142,61 @@
     pub fn receive_report(&mut self, report: Pulse, now: Moment) -> PulseChanges {
         let changes = self.receive_pulse(&report, now);
         self.collectors.note_appointed(now);
-        self.collection.add_local(report);
+        self.collection.add_local(report, now);
         changes
     }
 
     /// Digests that this instance sends as a collector, with their addresses: one to the instances
     /// of its own failure domain, one to the collectors of other domains. `None` if it is not a
     /// collector.
-    pub fn digests(&mut self, round: u64, now: Moment) -> Option<[(Digest, Vec<SocketAddr>); 2]> {
+    ///
+    /// `link_mbps` is the link's rate in megabits per second; digests take at most [`DIGESTS`] of
+    /// it.
+    pub fn digests(
+        &mut self,
+        round: u64,
+        link_mbps: f64,
+        now: Moment,
+    ) -> Option<[(Digest, Vec<SocketAddr>); 2]> {
         let own = &self.settings.own;
         // An instance that receives reports collects even if it considers the fleet small.
         if !self.collectors.is_collector(own.rank(), now) {
             return None;
         }
+        let group = Group { period: 1, ..self.members.group(&own.domain, true) };
+        let local_audience = group.audience(round, now);
+        let position = self.collectors.position(own.rank());
+        let remote_audience = self.members.remote_collectors(&own.domain, position, round, now);
         let totals = self.board.totals(&self.members.remote_domains(&own.domain), now);
-        let (outward, loads) = self.collection.remote_round(&totals, now);
-        let (pulses, sums) = self.collection.local_round(now);
-        let local = Digest {
+        let bucket = &mut self.digest_bucket;
+        let available = bucket.available(link_mbps, now) as f64;
+        let mut room = room_for((available * REMOTE_SHARE) as usize, &remote_audience);
+        let (outward, loads, news) = self.collection.remote_round(&totals, &mut room, now);
+        bucket.spend(room.used() * remote_audience.len());
+        let remote = Digest {
             sender: self.name_hash,
             weight: own.weight,
             domain: self.domain,
-            pulses,
-            sums,
+            pulses: outward,
+            sums: vec![DomainSums { domain: self.domain, loads }],
+            news,
         };
-        let sums = vec![DomainSums { domain: self.domain, loads }];
-        let remote = Digest { pulses: outward, sums, ..local.clone() };
-        let group = Group { period: 1, ..self.members.group(&own.domain, true) };
-        let local_audience = group.audience(round, now);
-        let position = self.collectors.position(own.rank());
-        let remote_audience = self.members.remote_collectors(&own.domain, position, round, now);
+        let mut room = room_for(bucket.available(link_mbps, now), &local_audience);
+        let (pulses, sums, news) = self.collection.local_round(&mut room, now);
+        bucket.spend(room.used() * local_audience.len());
+        let local = Digest { pulses, sums, news, ..remote.clone() };
+        if self.collection.has_rest() {
+            metrics::counter!("agatestair_serve_digests_partial_total").increment(1);
+        }
         Some([(local, local_audience), (remote, remote_audience)])
     }
 
     /// Handles a digest. What other domains sent is kept to forward it to the own domain.
     pub fn receive_digest(&mut self, digest: &Digest, now: Moment) -> Vec<PulseChanges> {
-        let changes = digest.pulses.iter().map(|pulse| self.receive_pulse(pulse, now)).collect();
+        let pulses = digest.pulses.iter();
+        let mut changes: Vec<PulseChanges> =
+            pulses.map(|pulse| self.receive_pulse(pulse, now)).collect();
+        changes.extend(self.receive_news(digest.sender, &digest.news, now));
         for domain in digest.sums.iter().filter(|sums| sums.domain != self.domain) {
             let loads: Vec<EndpointReport> =
                 domain.loads.iter().map(|load| EndpointReport::from(*load)).collect();
@@ -176,8 +206,29 @@
             self.collectors.note_heard(Rank::new(digest.weight, digest.sender), now);
         } else {
             self.collectors.note_appointed(now);
-            self.collection.add_remote(&digest.pulses, &digest.sums);
+            self.collection.add_remote(digest, now);
+        }
+        changes
+    }
+
+    /// Handles the news of a digest; `sender` is the collector.
+    fn receive_news(&mut self, sender: u64, news: &DigestNews, now: Moment) -> Vec<PulseChanges> {
+        let (own, mut changes) = (self.name_hash, Vec::new());
+        // What this instance observed itself would come back as if it were newer.
+        for (observer, limit) in news.limits.iter().filter(|(from, _)| *from != own) {
+            let limits: Vec<LimitChange> = self.note_peer_limit(*limit, now).into_iter().collect();
+            let sender = self.members.name(*observer);
+            changes.push(PulseChanges { limits, sender, ..PulseChanges::default() });
         }
+        let quarantine = self.note_peer_crashes(&news.crashes, now);
+        let sender = self.members.name(sender);
+        changes.push(PulseChanges { quarantine, sender, ..PulseChanges::default() });
         changes
     }
 }
+
+/// Room in a datagram that is sent to each of these addresses, if they may take this many bytes
+/// together.
+fn room_for(bytes: usize, audience: &[SocketAddr]) -> Room {
+    Room::new((bytes / audience.len().max(1)).min(MAX_BYTES))
+}
--- a/crates/serve/src/node/limits.rs
+++ b/crates/serve/src/node/limits.rs
@@ -103,11 +103,17 @@
         now: Moment,
     ) -> Vec<LimitChange> {
         self.sharing.note_peer(peer, &limits.weights, now);
-        let reports = limits.changes.iter().map(|limit| LimitReport::from(*limit));
-        let changes = reports.filter_map(|report| {
-            let endpoint = self.board.note_peer_limit(&report, now)?;
-            Some(LimitChange { endpoint, rate: report.rate, age: report.age })
-        });
-        changes.collect()
+        limits.changes.iter().filter_map(|limit| self.note_peer_limit(*limit, now)).collect()
+    }
+
+    /// Records a limit that another instance observed; returns the change if it is new.
+    pub(super) fn note_peer_limit(
+        &mut self,
+        limit: PulseLimit,
+        now: Moment,
+    ) -> Option<LimitChange> {
+        let report = LimitReport::from(limit);
+        let endpoint = self.board.note_peer_limit(&report, now)?;
+        Some(LimitChange { endpoint, rate: report.rate, age: report.age })
     }
 }
--- a/crates/serve/src/pulse.rs
+++ b/crates/serve/src/pulse.rs
@@ -17,7 +17,8 @@
 use crate::bulletins::handle_bulletin;
 use crate::collectors::REPORT_CLEARED;
 use crate::crash::log_changes;
-use crate::datagram::{Datagram, Digest, MAX_BYTES, Pulse};
+use crate::datagram::{Datagram, MAX_BYTES, Pulse};
+use crate::digest::Digest;
 use crate::events::{
     DATAGRAM_MALFORMED, DATAGRAM_NOT_SENT, ENDPOINT_LEAVING, ENDPOINT_LIMITED, MEMBER_CHANGED,
 };
--- a/crates/serve/tests/collect.rs
+++ b/crates/serve/tests/collect.rs
@@ -157,9 +157,10 @@
         collector.members.note_row(member(index * DOMAINS), now);
     }
     let report = Node::new(settings(member(DOMAINS))).pulse(REPORT_CLEARED, ROUND, now);
-    expect_that!(collector.digests(0, now).is_some(), eq(false));
+    expect_that!(collector.digests(0, 20.0, now).is_some(), eq(false));
     collector.receive_report(report.clone(), now);
-    let [(near, audience), _] = collector.digests(1, now).expect("a report makes it a collector");
+    let [(near, audience), _] =
+        collector.digests(1, 20.0, now).expect("a report makes it a collector");
     expect_that!(
         near.pulses.iter().map(|pulse| pulse.sender).collect::<Vec<_>>(),
         eq(&vec![report.sender])
@@ -204,24 +205,103 @@
 /// Start time of endpoints in Unix milliseconds.
 const BORN: u64 = 1_780_000_000_000;
 
-/// Instances that observe each crash, with two suspects each.
-const OBSERVERS: usize = 12;
-
 /// Traffic under which digests are measured.
 #[derive(Clone, Copy)]
 struct DigestCase {
+    name: &'static str,
+    /// Number of instances.
+    size: usize,
     /// Whether a tenth of the endpoints name limits, which change every second.
     limited: bool,
+    /// Endpoints that name limits which change in each round, each observed by another instance.
+    restless: usize,
     /// Crashes of endpoints per second.
     crashes: usize,
+    /// Instances that observe each crash.
+    observers: usize,
+    /// Suspects that each of them names.
+    suspects: usize,
+    /// Endpoints at which each instance starts or ends attempts in a round.
+    starts: usize,
 }
 
-const QUIET: DigestCase = DigestCase { limited: false, crashes: 0 };
+const QUIET: DigestCase = DigestCase {
+    name: "no crashes",
+    size: 300,
+    limited: false,
+    restless: 0,
+    crashes: 0,
+    observers: 12,
+    suspects: 2,
+    starts: 1,
+};
+
+/// Storms that are harsher than the one of [`CRASHES`].
+const STORMS: [DigestCase; 6] = [
+    DigestCase { name: "25 crashes a second", size: 343, crashes: 25, limited: true, ..QUIET },
+    DigestCase { name: "40 observers", crashes: CRASHES, observers: 40, limited: true, ..QUIET },
+    DigestCase { name: "128 suspects each", crashes: CRASHES, suspects: 128, ..QUIET },
+    DigestCase { name: "all limits change", crashes: CRASHES, restless: ENDPOINTS, ..QUIET },
+    DigestCase { name: "many attempts", size: 343, starts: ENDPOINTS, ..QUIET },
+    DigestCase {
+        name: "all at once",
+        size: 343,
+        crashes: CRASHES,
+        observers: 40,
+        suspects: 8,
+        restless: ENDPOINTS,
+        starts: ENDPOINTS,
+        limited: true,
+    },
+];
+
+#[gtest]
+fn digests_fit_the_links_of_small_instances_in_any_storm() {
+    for case in &STORMS {
+        let (mut sim, each) = play_digests(case);
+        println!("{}: {each:.0} bytes per second", case.name);
+        expect_that!(each, gt(0.0), "{}", case.name);
+        expect_that!(each, le(SMALL_LINK as f64 * DIGEST_SHARE), "{}", case.name);
+        // What was left out is told later.
+        sim.run(STORM_LAG);
+        let Some(process) = last_crash(case) else { continue };
+        let mut alive = sim.instances.iter().filter(|instance| !instance.crashed);
+        let told = alive.all(|instance| instance.node.quarantine.has_crashed(process));
+        expect_that!(told, eq(true), "{}: all know of the last crash", case.name);
+    }
+}
+
+/// Time after a storm within which all know of what happened in it.
+const STORM_LAG: Duration = Duration::from_secs(3);
+
+/// Rounds in which digests are measured.
+const MEASURED_ROUNDS: usize = 100;
+
+/// Rounds between two crashes.
+fn crash_rounds(case: &DigestCase) -> usize {
+    25 / case.crashes.max(1)
+}
+
+/// The process that crashes in a round.
+fn process(round: usize) -> ProcessKey {
+    ProcessKey { endpoint: name_hash("engine"), born: BORN + round as u64 }
+}
+
+/// The process that crashes last.
+fn last_crash(case: &DigestCase) -> Option<ProcessKey> {
+    let last = (0..MEASURED_ROUNDS).rev().find(|at| at % crash_rounds(case) == 0);
+    last.filter(|_| case.crashes > 0).map(process)
+}
 
 /// Largest number of bytes per second that an instance sends in digests.
 fn digest_bytes(case: &DigestCase) -> f64 {
-    let DigestCase { limited, crashes } = *case;
-    let size = 300;
+    play_digests(case).1
+}
+
+/// Plays the traffic; returns the fleet and the largest number of bytes per second that an instance
+/// sends in digests.
+fn play_digests(case: &DigestCase) -> (Simulation, f64) {
+    let DigestCase { size, limited, restless, crashes, observers, suspects, starts, .. } = *case;
     let mut sim = Simulation::new(size);
     // The larger instances have failed, so the smaller ones collect.
     for instance in sim.instances.iter_mut().filter(|instance| instance.member.weight >= 500) {
@@ -234,7 +314,7 @@
         asking.for_each(|instance| instance.node.note_first(&"engines".into(), now));
         sim.run_round();
     }
-    let rounds = 100;
+    let rounds = MEASURED_ROUNDS;
     let interval_rounds = (interval(120).as_millis() / ROUND.as_millis()) as u64;
     let mut bytes = vec![0_usize; size];
     for round in 0..rounds {
@@ -243,14 +323,16 @@
             // report the engine's pace.
             let now = sim.now;
             let instance = &mut sim.instances[index];
-            let endpoint_at = |round: usize| (index + round / 4) % ENDPOINTS;
             let load = Load { attempts: 1, unread: 300, context: 300, output: 20 };
-            instance.node.board.start(instance.keys[endpoint_at(round)], load);
-            if round >= 8 {
-                let key = instance.keys[endpoint_at(round - 8)];
-                instance.node.board.finish(key, load, now);
-                let pace = if (index + round) % 7 == 0 { 2.5 } else { 1.0 };
-                instance.node.note_direct_pace(key, pace, now);
+            for start in 0..starts {
+                let endpoint_at = |round: usize| (index + round / 4 + start) % ENDPOINTS;
+                instance.node.board.start(instance.keys[endpoint_at(round)], load);
+                if round >= 8 {
+                    let key = instance.keys[endpoint_at(round - 8)];
+                    instance.node.board.finish(key, load, now);
+                    let pace = if (index + round) % 7 == 0 { 2.5 } else { 1.0 };
+                    instance.node.note_direct_pace(key, pace, now);
+                }
             }
             instance.node.note_first(&"engines".into(), now);
         }
@@ -261,14 +343,19 @@
             let limit = 25.0 + (round / 25) as f64 * 3.0;
             instance.node.board.note_limit(instance.keys[endpoint], Some(limit), now);
         }
-        let is_crash = crashes > 0 && round.is_multiple_of(25 / crashes.max(1));
-        for observer in 0..if is_crash { OBSERVERS } else { 0 } {
+        for endpoint in 0..restless {
+            let now = sim.now;
+            let instance = &mut sim.instances[(round * 7 + endpoint * 13) % size];
+            let limit = 25.0 + (round % 10) as f64 * 3.0;
+            instance.node.board.note_limit(instance.keys[endpoint], Some(limit), now);
+        }
+        let is_crash = crashes > 0 && round.is_multiple_of(crash_rounds(case));
+        for observer in 0..if is_crash { observers } else { 0 } {
             let now = sim.now;
-            let process = ProcessKey { endpoint: name_hash("engine"), born: BORN + round as u64 };
-            let part = |second: bool| name_hash(&format!("{round} {observer} {second}"));
-            let suspects = vec![part(false), part(true)];
+            let part = |suspect: usize| name_hash(&format!("{round} {observer} {suspect}"));
+            let suspects = (0..suspects).map(part).collect();
             let instance = &mut sim.instances[(round * 31 + observer * 37) % size];
-            instance.node.note_crash(process, "engines", suspects, now);
+            instance.node.note_crash(process(round), "engines", suspects, now);
         }
         let current_round = sim.round;
         sim.run_round();
@@ -283,7 +370,7 @@
         }
     }
     let most = bytes.into_iter().max().unwrap_or_default();
-    most as f64 / (ROUND * rounds as u32).as_secs_f64()
+    (sim, most as f64 / (ROUND * rounds as u32).as_secs_f64())
 }
 
 #[gtest]
--- a/crates/serve/tests/components.rs
+++ b/crates/serve/tests/components.rs
@@ -11,10 +11,11 @@
 use agatestair_policy::board::{Board, BoardSettings};
 use agatestair_policy::{EndpointKey, Moment};
 use agatestair_serve::{
-    Bulletin, BulletinTable, BulletinUpdate, Configuration, Cursor, Datagram, Digest, DomainSums,
-    EndpointList, EventSplitter, Hub, Identity, Limits, LoadChanges, Member, MemberState, Members,
-    Node, NodeSettings, Pulse, PulseLimit, PulseLimits, PulseLoad, Route, RouteKind, Service,
-    TableState, Target, explain,
+    Bulletin, BulletinTable, BulletinUpdate, Configuration, Cursor, Datagram, Digest, DigestNews,
+    DomainSums, EndpointList, EventSplitter, Hub, Identity, Limits, LoadChanges, Member,
+    MemberState, Members, Node, NodeSettings, Pulse, PulseCrash, PulseCrashes, PulseLimit,
+    PulseLimits, PulseLoad, PulseSurvival, PulseVerdict, Route, RouteKind, Service, TableState,
+    Target, explain,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -468,6 +469,196 @@
     }
 }
 
+/// Rate of a link that fits all, in megabits per second.
+const FAST_MBPS: f64 = 1000.0;
+
+/// Hashes: few, so that some occur several times, or any.
+fn hashes(few: u64) -> impl Strategy<Value = u64> + Clone {
+    prop_oneof![0..few, any::<u64>()]
+}
+
+fn loads(few: u64) -> impl Strategy<Value = Vec<PulseLoad>> {
+    let numbers = (any::<u32>(), any::<u32>(), any::<u16>());
+    let load = (hashes(few), numbers).prop_map(|(endpoint, (attempts, unread, pace))| PulseLoad {
+        endpoint,
+        attempts,
+        unread,
+        context: unread / 2,
+        output: attempts / 3,
+        pace,
+        age_ms: pace / 2,
+    });
+    proptest::collection::vec(load, 0..20)
+}
+
+fn news(few: u64) -> impl Strategy<Value = DigestNews> {
+    let hash = hashes(few);
+    let limit = (hash.clone(), hash.clone(), proptest::option::of(any::<u64>()), any::<u32>());
+    let limit = limit.prop_map(|(observer, endpoint, rate, age_ms)| {
+        (observer, PulseLimit { endpoint, born: 5, rate, age_ms })
+    });
+    let suspects = proptest::collection::vec(any::<u64>(), 0..40);
+    let crash = (hash.clone(), hash.clone(), any::<u32>(), suspects);
+    let crash = crash.prop_map(|(endpoint, service, age_ms, suspects)| PulseCrash {
+        endpoint,
+        born: endpoint / 2,
+        service,
+        age_ms,
+        suspects,
+    });
+    let verdict = (hash.clone(), any::<u64>(), any::<u32>(), any::<u32>());
+    let verdict = verdict.prop_map(|(service, part, age_ms, crashes)| PulseVerdict {
+        service,
+        part,
+        age_ms,
+        seen_ms: age_ms / 2,
+        crashes,
+    });
+    let survival = (hash, any::<u64>(), any::<u32>());
+    let survival =
+        survival.prop_map(|(service, part, age_ms)| PulseSurvival { service, part, age_ms });
+    let lists = (
+        proptest::collection::vec(limit, 0..20),
+        proptest::collection::vec(crash, 0..20),
+        proptest::collection::vec(verdict, 0..20),
+        proptest::collection::vec(survival, 0..20),
+    );
+    lists.prop_map(|(limits, crashes, verdicts, survivals)| DigestNews {
+        limits,
+        crashes: PulseCrashes { crashes, verdicts, survivals },
+    })
+}
+
+/// Pulses of up to 60 instances, as they report them.
+fn pulses(few: u64) -> impl Strategy<Value = Vec<Pulse>> {
+    let parts = (loads(few), news(few), any::<u64>(), any::<[bool; 4]>());
+    let parts = proptest::collection::vec(parts, 0..60);
+    parts.prop_map(|parts| {
+        let parts = parts.into_iter().enumerate();
+        let pulses = parts.map(|(index, (loads, news, version, [named, ready, leaving, bare]))| {
+            let changes = news.limits.iter().map(|(_, limit)| *limit).collect();
+            let limits = PulseLimits { changes, weights: vec![(9, index as u32)] };
+            Pulse {
+                sender: index as u64,
+                identity: pulse().identity.filter(|_| named),
+                ready,
+                leaving,
+                version,
+                reads: loads.iter().map(|load| (load.endpoint, version, load.unread)).collect(),
+                leavers: loads.iter().take(2).map(|load| (load.endpoint, version)).collect(),
+                loads,
+                limits: Some(limits).filter(|_| !bare),
+                crashes: Some(news.crashes).filter(|_| !bare),
+            }
+        });
+        pulses.collect()
+    })
+}
+
+proptest! {
+    /// Digests are decoded as they were encoded, however many names they hold.
+    #[test]
+    fn digests_round_trip(
+        pulses in pulses(300),
+        sums in proptest::collection::vec((any::<u64>(), loads(300)), 0..9),
+        news in news(300),
+        head in any::<(u64, u32, u64)>(),
+    ) {
+        let (sender, weight, domain) = head;
+        let sums = sums.into_iter().map(|(domain, loads)| DomainSums { domain, loads }).collect();
+        let digest = Datagram::Digest(Digest { sender, weight, domain, pulses, sums, news });
+        if let Ok(bytes) = digest.encode() {
+            prop_assert_eq!(Datagram::try_from(bytes.as_slice()).ok(), Some(digest));
+        }
+    }
+
+    /// No bytes make the decoder of digests panic.
+    #[test]
+    fn corrupted_digests_do_not_panic(
+        pulses in pulses(9),
+        news in news(9),
+        changes in proptest::collection::vec((any::<u16>(), any::<u8>()), 0..9),
+        length in any::<u16>(),
+        noise in proptest::collection::vec(any::<u8>(), 0..200),
+    ) {
+        let digest = Digest { sender: 1, weight: 2, domain: 3, pulses, sums: Vec::new(), news };
+        if let Ok(mut bytes) = Datagram::Digest(digest).encode() {
+            let whole = bytes.len();
+            changes.iter().for_each(|(at, value)| bytes[usize::from(*at) % whole] = *value);
+            bytes.truncate(usize::from(length).max(1));
+            drop(Datagram::try_from(bytes.as_slice()));
+            // The first two bytes say that a digest follows.
+            let start = [bytes[0], bytes.get(1).copied().unwrap_or_default()];
+            drop(Datagram::try_from([&start[..], &noise].concat().as_slice()));
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Whatever instances report, digests take no more than half of the link, and what they leave
+    /// out is sent once there is room for it.
+    #[test]
+    fn digests_fit_the_link_whatever_is_reported(
+        reports in pulses(300),
+        remote in (pulses(300), news(300), loads(300)),
+        link in 0.5_f64..50.0,
+    ) {
+        let (first, start) = (member("i1", "a", 1), Moment(10_000_000));
+        let settings = NodeSettings {
+            own: first,
+            board: BoardSettings::default(),
+            retry: agatestair_policy::RetrySettings::default(),
+            draw: 0.5,
+        };
+        let mut node = Node::new(settings);
+        for other in 2..40 {
+            let (name, domain) = (format!("i{other}"), if other % 2 == 0 { "a" } else { "b" });
+            node.members.note_row(member(&name, domain, 1), start);
+        }
+        let (pulses, news, loads) = remote;
+        let sums = vec![DomainSums { domain: 77, loads }];
+        let digest = Digest { sender: 5, weight: 1, domain: 77, pulses, sums, news };
+        node.receive_digest(&digest, start);
+        reports.iter().for_each(|report| drop(node.receive_report(report.clone(), start)));
+        let (interval, rounds) = (Duration::from_millis(40), 15);
+        let mut sent = 0;
+        for round in 0..rounds {
+            let now = start + interval * round;
+            let digests = node.digests(round.into(), link, now);
+            for (digest, audience) in digests.into_iter().flatten() {
+                let bytes = Datagram::Digest(digest).encode();
+                let bytes = bytes.expect("a digest fits a datagram").len();
+                // Digests without content are heartbeats, which are sent less often.
+                sent += if bytes > 40 { bytes * audience.len() } else { 0 };
+            }
+            let time = (interval * round).as_secs_f64() + 0.5;
+            let most = link * 125_000.0 * 0.5 * time;
+            prop_assert!(sent as f64 <= most, "{sent} of {most} bytes");
+        }
+        for round in rounds..rounds + 10 {
+            let digests = node.digests(round.into(), FAST_MBPS, start + interval * round);
+            for (digest, _) in digests.into_iter().flatten() {
+                prop_assert!(Datagram::Digest(digest).encode().is_ok());
+            }
+        }
+        prop_assert!(!node.collection.has_rest());
+    }
+}
+
+/// A digest of all instances of a large fleet is decoded.
+#[gtest]
+fn a_digest_of_many_pulses_is_decoded() {
+    let bare = Pulse { identity: None, loads: Vec::new(), reads: Vec::new(), ..pulse() };
+    let pulses = (0..1500).map(|sender| Pulse { sender, ..bare.clone() }).collect();
+    let news = DigestNews::default();
+    let digest = Digest { sender: 1, weight: 2, domain: 3, pulses, sums: Vec::new(), news };
+    let digest = Datagram::Digest(digest);
+    let bytes = digest.encode().expect("the datagram fits");
+    expect_that!(Datagram::try_from(bytes.as_slice()), ok(eq(&digest)));
+}
+
 /// A change of an endpoint's load, and whether it is sent to peers immediately.
 struct LoadCase {
     name: &'static str,
@@ -500,7 +691,14 @@
 fn datagrams_round_trip() {
     let sums = vec![DomainSums { domain: 8, loads: pulse().loads }];
     let unnamed = Pulse { identity: None, ..pulse() };
-    let digest = Digest { sender: 3, weight: 500, domain: 7, pulses: vec![unnamed], sums };
+    let digest = Digest {
+        sender: 3,
+        weight: 500,
+        domain: 7,
+        pulses: vec![unnamed],
+        sums,
+        news: DigestNews::default(),
+    };
     let datagrams = [
         Datagram::Pulse(pulse()),
         Datagram::Report(pulse()),
--- a/crates/serve/tests/support/simulation.rs
+++ b/crates/serve/tests/support/simulation.rs
@@ -121,7 +121,9 @@
             let instance = &mut self.instances[index];
             let interval_rounds = interval(instance.member.weight).as_millis() / ROUND.as_millis();
             let is_due = round.is_multiple_of(interval_rounds as u64);
-            let digests = is_due.then(|| instance.node.digests(round, now)).flatten();
+            let digests = is_due
+                .then(|| instance.node.digests(round, link_mbps(&instance.member), now))
+                .flatten();
             instance.last_digests.clone_from(&digests);
             for (digest, audience) in digests.into_iter().flatten() {
                 self.send(index, &audience, &Datagram::Digest(digest));
@@ -263,6 +265,11 @@
     }
 }
 
+/// Rate of an instance's link in megabits per second.
+fn link_mbps(member: &Member) -> f64 {
+    if member.weight < 500 { 20.0 } else { 200.0 }
+}
+
 /// An endpoint of the service `engines`.
 pub fn endpoint(index: usize) -> EndpointFacts {
     EndpointFacts {
