Idle connections count towards an instance's part

Seen: an instance before six endpoints of 20 connections each kept its six idle connections when 60 further instances came, with which it may use one or two endpoints; test an_instance_uses_and_keeps_only_its_part_of_the_connections waited for 30 s in vain. Cause: the pool kept up to twelve idle connections an endpoint, whatever the instance's part; also connections that were opened only to see whether an endpoint lives, by all instances when it returns. Why it works: an attempt takes an idle connection first, so that idle and used ones of an instance together stay within its part, and the parts of all within the endpoint's connections.

--- a/crates/serve/src/crash.rs
+++ b/crates/serve/src/crash.rs
@@ -59,7 +59,7 @@
     let settings = ConnectionSettings { connect: CHECK_TIME, ..ConnectionSettings::default() };
     match Connection::open(guard.placement.address, &settings).await {
         Ok(connection) => {
-            shared.pool.put(guard.placement.key, connection);
+            shared.keep_connection(guard.placement.key, connection);
             None
         }
         Err(error) => Some(error).filter(|error| error.kind() == io::ErrorKind::ConnectionRefused),
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -277,7 +277,7 @@
     }
     let name = (call.shared.wire.read_handle)(&bytes)
         .map_err(|error| SendOutcome::Unknown(error.to_string()))?;
-    call.shared.pool.put(guard.placement.key, connection);
+    call.shared.return_connection(guard.placement.key, connection);
     Ok(PromptHandle {
         shared: call.shared.clone(),
         source: guard.placement.key,
--- a/crates/serve/src/node/budgets.rs
+++ b/crates/serve/src/node/budgets.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use agatestair_policy::board::{Division, PlacementRequest};
-use agatestair_policy::{Moment, RetrySettings};
+use agatestair_policy::{EndpointKey, Moment, RetrySettings};
 
 use crate::node::Node;
 
@@ -58,6 +58,20 @@
         request.subset = share.division.map(subset);
     }
 
+    /// Number of idle connections to an endpoint that this instance may have beside those of its
+    /// attempts there, `ending` of which no longer need theirs.
+    pub fn idle_share(&self, key: EndpointKey, ending: u32, now: Moment) -> usize {
+        let Some(endpoint) = self.board.endpoints.get(key) else { return 0 };
+        let services = self.configuration.as_ref().map(|known| &known.services);
+        let service = services.and_then(|services| services.get(&endpoint.facts.service));
+        let Some(service) = service else { return 0 };
+        let share = self.connection_share(service.connections, now);
+        let subset = |division| self.board.subset(&service.name, &division, &[], now);
+        let used = share.division.map(subset).is_none_or(|subset| subset.contains(&key));
+        let each = if used { share.each } else { 0 };
+        each.saturating_sub(endpoint.own.attempts.saturating_sub(ending)) as usize
+    }
+
     /// Number of instances that share the budget of retries, including ones that may still join.
     fn sharers(&self, now: Moment) -> usize {
         with_spare(self.members.sharers(now).count() + 1)
--- a/crates/serve/src/plain.rs
+++ b/crates/serve/src/plain.rs
@@ -78,6 +78,6 @@
     }
     let (bytes, buffer, connection) =
         response.read(&call.shared.buffer_limit, MAX_HELD_BYTES).await?;
-    call.shared.pool.put(guard.placement.key, connection);
+    call.shared.return_connection(guard.placement.key, connection);
     Ok(respond(status, headers, ResponseBody::buffered(bytes, buffer)))
 }
--- a/crates/serve/src/pool.rs
+++ b/crates/serve/src/pool.rs
@@ -29,20 +29,29 @@
         None
     }
 
-    /// Returns a connection to the pool after its response has been read completely.
-    pub fn put(&self, key: EndpointKey, connection: Connection) {
+    /// Adds an idle connection whose last response has been read completely, if the endpoint has
+    /// fewer than `most`; else the connection is closed.
+    pub fn put(&self, key: EndpointKey, connection: Connection, most: usize) {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(key).or_default();
-        if connections.len() < MAX_IDLE {
+        if connections.len() < most.min(MAX_IDLE) {
             connections.push(connection);
         }
     }
 
-    /// Closes connections that can no longer be used.
-    pub fn sweep(&self) {
+    /// Endpoints with idle connections.
+    pub fn keys(&self) -> Vec<EndpointKey> {
+        self.idle.borrow().keys().copied().collect()
+    }
+
+    /// Closes connections that can no longer be used, and those beyond `most` of each endpoint.
+    pub fn sweep(&self, most: &HashMap<EndpointKey, usize>) {
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|_, connections| {
+        idle.retain(|key, connections| {
             connections.retain(Connection::is_usable);
+            let excess = connections.len().saturating_sub(most.get(key).copied().unwrap_or(0));
+            // The least recently used ones come first.
+            connections.drain(..excess);
             !connections.is_empty()
         });
     }
--- a/crates/serve/src/reach.rs
+++ b/crates/serve/src/reach.rs
@@ -35,7 +35,7 @@
             return;
         }
         match Connection::open(placement.address, &ConnectionSettings::default()).await {
-            Ok(connection) => shared.pool.put(key, connection),
+            Ok(connection) => shared.keep_connection(key, connection),
             Err(error) if is_remote_failure(&error) => {
                 return note_unreachable(shared, placement, &error);
             }
@@ -79,7 +79,7 @@
         sleep(pause.mul_f64(0.5 + rand::rng().random::<f64>())).await;
         pause = (pause * 2).min(MAX_PAUSE);
         if let Ok(connection) = Connection::open(address, &ConnectionSettings::default()).await {
-            shared.pool.put(key, connection);
+            shared.keep_connection(key, connection);
             shared.hub.ask(move |node, _| node.board.note_reachable(key));
             let name = shared.hub.ask(move |node, _| node.board.name(key));
             log_event!(shared.log, ENDPOINT_REACHABLE, "endpoint" => name.as_deref(),
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -185,7 +185,7 @@
 /// Ends the caller's body and returns the connection to the pool.
 async fn finish(call: &Call, mut run: Run, events: &EventSplitter, chunks: &mpsc::Sender<Chunk>) {
     run.connection.note_idle(run.idle);
-    call.shared.pool.put(run.guard.placement.key, run.connection);
+    call.shared.return_connection(run.guard.placement.key, run.connection);
     // Sending fails if the caller has disconnected; the response is over either way.
     drop(chunks.send(Chunk::End).await);
     log_complete(call, &run.guard, events);
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -345,7 +345,7 @@
 async fn sweep(shared: Rc<Shared>) {
     loop {
         sleep(SWEEP).await;
-        shared.pool.sweep();
+        shared.sweep_connections();
         let changes = shared.hub.ask(|node, now| node.quarantine.expire(now));
         log_changes(&shared, &changes, None);
         metrics::gauge!("agatestair_serve_open").set(shared.open.len() as f64);
--- a/crates/serve/src/send.rs
+++ b/crates/serve/src/send.rs
@@ -295,7 +295,7 @@
 ) {
     let rest = timeout(DRAIN_TIMEOUT, Limited::new(body, MAX_REFUSAL_BYTES).collect()).await;
     if matches!(rest, Ok(Ok(_))) {
-        shared.pool.put(placement.key, connection);
+        shared.return_connection(placement.key, connection);
     }
 }
 
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use agatestair_policy::EndpointKey;
 use agatestair_runtime::{MetricsHandle, log_event, set_send_buffer};
 use agatestair_schema::settings::ServeSettings;
 use http::header::CONNECTION;
@@ -22,6 +23,7 @@
 
 use crate::body::ResponseBody;
 use crate::buffer_limit::BufferLimit;
+use crate::connection::Connection;
 use crate::datagram::BulletinUpdate;
 use crate::events::{ACCEPT_FAILED, CONNECTION_FAILED};
 use crate::hub::Hub;
@@ -121,6 +123,28 @@
         self.settings.borrow().clone()
     }
 
+    /// Pools the connection of an attempt that is still counted, or closes it if this instance may
+    /// not keep it.
+    pub fn return_connection(&self, key: EndpointKey, connection: Connection) {
+        let most = self.hub.ask(move |node, now| node.idle_share(key, 1, now));
+        self.pool.put(key, connection, most);
+    }
+
+    /// Pools a connection that no attempt uses, or closes it if this instance may not keep it.
+    pub fn keep_connection(&self, key: EndpointKey, connection: Connection) {
+        let most = self.hub.ask(move |node, now| node.idle_share(key, 0, now));
+        self.pool.put(key, connection, most);
+    }
+
+    /// Closes idle connections that are unusable or that this instance may no longer keep.
+    pub fn sweep_connections(&self) {
+        let keys = self.pool.keys();
+        let most = self.hub.ask(move |node, now| {
+            keys.into_iter().map(|key| (key, node.idle_share(key, 0, now))).collect()
+        });
+        self.pool.sweep(&most);
+    }
+
     /// Number of requests in flight plus callers' open connections.
     pub fn open_work(&self) -> usize {
         self.open.len() + self.connections.get()
