Rows for a large fleet leave at half of the link's rate

Cause: 1.6 MB in one burst exceed what the queue of a link of 200 Mbit/s holds, and both copies go out in the same order, so that the same instances lose both.

Change: `Pacer` spreads bulletins over time at half of the link's rate, in batches of 5 ms, all copies together. 1.6 MB take 130 ms at 200 Mbit/s; what the bucket lets through takes at most 0.4 s.

The same cause elsewhere, not changed: digests of small collectors, 5 kB to 60 members at once on 20 Mbit/s, are 120 ms of the link.

--- a/crates/serve/src/bulletins.rs
+++ b/crates/serve/src/bulletins.rs
@@ -3,6 +3,7 @@
 //! Changes are sent at once and again soon after, since datagrams may be lost. An instance that
 //! misses a change detects it by the versions in later bulletins, and calls the store itself.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 
 use crate::datagram::{Bulletin, BulletinTable, BulletinUpdate, Datagram, TableState};
 use crate::events::{BULLETIN_WITHOUT_ROWS, WATCHING};
-use crate::pulse::send_all;
+use crate::pulse::{encode, send_bytes};
 use crate::shared::Shared;
 use crate::store::Table;
 use crate::watch::{apply, expire};
@@ -97,7 +98,27 @@
                 "link_mbps" => link);
         }
         metrics::counter!("agatestair_serve_bulletins_total").increment(1);
-        send_all(shared, socket, &Datagram::Bulletin(bulletin), &audience).await;
+        send_paced(shared, socket, &Datagram::Bulletin(bulletin), &audience).await;
+    }
+}
+
+/// Sends a datagram to the given addresses, one after the other if all at once would exceed what
+/// the link's queue holds.
+async fn send_paced(
+    shared: &Shared,
+    socket: &UdpSocket,
+    datagram: &Datagram,
+    audience: &[SocketAddr],
+) {
+    let Some(bytes) = encode(shared, datagram) else { return };
+    let link = shared.settings().machine.link_mbps;
+    let size = bytes.len();
+    for address in audience {
+        let delay = shared.hub.ask(move |node, now| node.bulletin_pacer.delay(size, link, now));
+        if !delay.is_zero() {
+            sleep(delay).await;
+        }
+        send_bytes(shared, socket, &bytes, *address).await;
     }
 }
 
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -32,6 +32,7 @@
 use crate::cursor::Cursor;
 use crate::endpoint_list::EndpointList;
 use crate::members::{Member, MemberState, Members};
+use crate::pacer::Pacer;
 use crate::sharing::Sharing;
 use crate::store::Table;
 use crate::token_bucket::TokenBucket;
@@ -168,6 +169,8 @@
     /// Bandwidth that is left for rows in bulletins.
     pub bulletin_bucket: TokenBucket,
     digest_bucket: TokenBucket,
+    /// Spreads bulletins with rows over time.
+    pub bulletin_pacer: Pacer,
     /// Prompt parts that crash endpoints.
     pub quarantine: Quarantine,
     /// Reports that this instance has collected and not yet forwarded.
@@ -213,6 +216,7 @@
             collectors: Collectors::default(),
             bulletin_bucket: TokenBucket::default(),
             digest_bucket: TokenBucket::new(gossip::DIGESTS),
+            bulletin_pacer: Pacer::default(),
             quarantine: Quarantine::default(),
             collection: Collection::default(),
             name_hash: name_hash(&settings.own.name),
--- a/crates/serve/src/pulse.rs
+++ b/crates/serve/src/pulse.rs
@@ -178,17 +178,25 @@
     datagram: &Datagram,
     audience: &[SocketAddr],
 ) {
-    let bytes = match datagram.encode() {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            return log_event!(shared.log, DATAGRAM_NOT_SENT, "error" => error.to_string());
-        }
-    };
+    let Some(bytes) = encode(shared, datagram) else { return };
     for address in audience {
-        if let Err(error) = socket.send_to(&bytes, address).await {
-            log_event!(shared.log, DATAGRAM_NOT_SENT, "to" => address.to_string(),
-                "error" => error.to_string());
-        }
+        send_bytes(shared, socket, &bytes, *address).await;
+    }
+}
+
+/// Encodes a datagram; failures are logged.
+pub fn encode(shared: &Shared, datagram: &Datagram) -> Option<Vec<u8>> {
+    let encoded = datagram.encode().inspect_err(|error| {
+        log_event!(shared.log, DATAGRAM_NOT_SENT, "error" => error.to_string());
+    });
+    encoded.ok()
+}
+
+/// Sends an encoded datagram; failures are logged.
+pub async fn send_bytes(shared: &Shared, socket: &UdpSocket, bytes: &[u8], address: SocketAddr) {
+    if let Err(error) = socket.send_to(bytes, address).await {
+        log_event!(shared.log, DATAGRAM_NOT_SENT, "to" => address.to_string(),
+            "error" => error.to_string());
     }
 }
 
--- a/crates/serve/src/token_bucket.rs
+++ b/crates/serve/src/token_bucket.rs
@@ -5,7 +5,7 @@
 use agatestair_policy::Moment;
 
 /// Bytes per second at one megabit per second.
-const BYTES_PER_MEGABIT: f64 = 125_000.0;
+pub const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
 /// Share of the instance's link. By default that for rows in bulletins; callers, endpoints and the
 /// store need the rest.
--- a/crates/serve/tests/watch.rs
+++ b/crates/serve/tests/watch.rs
@@ -7,7 +7,7 @@
 use agatestair_policy::Moment;
 use agatestair_policy::assign::name_hash;
 use agatestair_policy::board::{Board, BoardSettings};
-use agatestair_serve::{Changes, Cursor, EndpointList, Rank, Row, TableUpdate, Watchers};
+use agatestair_serve::{Changes, Cursor, EndpointList, Pacer, Rank, Row, TableUpdate, Watchers};
 use googletest::prelude::*;
 
 use self::support::endpoint_facts;
@@ -444,3 +444,70 @@
         expect_that!(board.find("one").is_some(), eq(case.kept_after), "{}", case.name);
     }
 }
+
+/// Rows that an instance sends to all others.
+struct BurstCase {
+    name: &'static str,
+    link_mbps: f64,
+    audience: usize,
+    bytes: usize,
+    /// Time until the rows are sent again, in milliseconds.
+    repeat_ms: u64,
+}
+
+const BURSTS: [BurstCase; 4] = [
+    BurstCase {
+        name: "configuration",
+        link_mbps: 200.0,
+        audience: 294,
+        bytes: 5700,
+        repeat_ms: 120,
+    },
+    BurstCase {
+        name: "sent again at the same time",
+        link_mbps: 200.0,
+        audience: 294,
+        bytes: 5700,
+        repeat_ms: 0,
+    },
+    BurstCase { name: "endpoint", link_mbps: 20.0, audience: 294, bytes: 300, repeat_ms: 120 },
+    BurstCase {
+        name: "largest datagram",
+        link_mbps: 1000.0,
+        audience: 342,
+        bytes: 60_000,
+        repeat_ms: 120,
+    },
+];
+
+/// Time for which the bytes in a link's queue may occupy the link. A queue that holds 50 ms loses
+/// the rest of a larger burst.
+const MAX_QUEUE_MS: f64 = 20.0;
+
+#[gtest]
+fn rows_for_a_large_fleet_do_not_overflow_the_links_queue() {
+    for case in &BURSTS {
+        let start = Moment(1_000_000);
+        let mut pacer = Pacer::default();
+        // Time of the next datagram of each copy, and the number of its datagrams left.
+        let repeat = start + Duration::from_millis(case.repeat_ms);
+        let mut copies = [(start, case.audience), (repeat, case.audience)];
+        let (mut queued, mut at) = (0.0, start);
+        let bytes_per_ms = case.link_mbps * 125.0;
+        while let Some(copy) = copies.iter_mut().filter(|copy| copy.1 > 0).min_by_key(|copy| copy.0)
+        {
+            let now = copy.0;
+            let delay = pacer.delay(case.bytes, case.link_mbps, now);
+            *copy = (now + delay, copy.1 - 1);
+            // Datagrams are sent in the order of their times.
+            let sent = (now + delay).max(at);
+            let drained = sent.since(at).as_secs_f64() * 1000.0 * bytes_per_ms;
+            queued = f64::max(queued - drained, 0.0) + case.bytes as f64;
+            at = sent;
+            assert_that!(queued / bytes_per_ms, le(MAX_QUEUE_MS), "{}", case.name);
+        }
+        let limit = Duration::from_millis(case.repeat_ms)
+            + Duration::from_secs_f64((4 * case.audience * case.bytes) as f64 / bytes_per_ms / 1e3);
+        expect_that!(at.since(start), le(limit + STEP), "{}: all are sent in time", case.name);
+    }
+}
