--- a/crates/serve/src/node/gossip.rs
+++ b/crates/serve/src/node/gossip.rs
@@ -150,7 +150,7 @@
     /// of its own failure domain, one to the collectors of other domains. `None` if it is not a
     /// collector.
     ///
-    /// `link_mbps` is the link's rate in megabits per second; digests take at most [`DIGESTS`] of
+    /// `link_mbps` is the link's rate in megabits per second; digests take at most `DIGESTS` of
     /// it.
     pub fn digests(
         &mut self,
