--- a/crates/serve/tests/collect.rs
+++ b/crates/serve/tests/collect.rs
@@ -271,6 +271,19 @@
     }
 }
 
+#[gtest]
+fn small_collectors_are_heard_by_all() {
+    let (mut sim, _) = play_digests(&QUIET);
+    for step in 0..6 {
+        sim.run(Duration::from_millis(500));
+        let now = sim.now;
+        let alive: Vec<&Instance> = sim.instances.iter().filter(|it| !it.crashed).collect();
+        let others = |instance: &Instance| instance.node.members.count(now);
+        let heard = alive.iter().filter(|instance| others(instance) + 1 >= alive.len()).count();
+        expect_that!(heard, eq(alive.len()), "step {step}: instances that hear all others");
+    }
+}
+
 /// Time after a storm within which all know of what happened in it.
 const STORM_LAG: Duration = Duration::from_secs(3);
 
