policy, serve: reports of crashes have files of their own

Moved unchanged to quarantine/report.rs and pulse_crashes.rs; public names stay. Two doc comments lose a figure of speech ("held against", "what ends harm first").

Measured: clippy with -D warnings passes for both crates with all targets.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -3,13 +3,19 @@
 //! Instances report the crashes that they observe, each with the parts of the prompts whose answers
 //! were beginning at the crashed process. A part that keeps occurring in crashes and in no run that
 //! survives is quarantined: no instance sends prompts with it any more. A crash has one cause, so
-//! crashes that a quarantined part explains are not held against other parts.
+//! crashes that a quarantined part explains do not count for other parts.
+
+mod report;
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use crate::moment::Moment;
 
+pub use report::{
+    CrashReport, ProcessKey, QuarantineChange, QuarantineCheck, ServicePart, Survival, Verdict,
+};
+
 /// Crashes within this time of each other count as one, since they may have a common cause outside
 /// the endpoints, for example the loss of a rack.
 const SAME_CAUSE: Duration = Duration::from_millis(100);
@@ -60,81 +66,6 @@
 /// Largest number of parts whose surviving runs are remembered.
 const MAX_SURVIVORS: usize = 4096;
 
-/// A prompt part at a service, both as hashes.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct ServicePart {
-    /// Hash of the service's name.
-    pub service: u64,
-    /// Identifier of the part.
-    pub part: u64,
-}
-
-/// One process of an endpoint.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct ProcessKey {
-    /// Hash of the endpoint's name.
-    pub endpoint: u64,
-    /// Start time in Unix milliseconds.
-    pub born: u64,
-}
-
-/// A crash of an endpoint, as one instance observed it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct CrashReport {
-    /// The process that crashed.
-    pub process: ProcessKey,
-    /// Hash of the name of its service.
-    pub service: u64,
-    /// Time since the crash.
-    pub age: Duration,
-    /// Parts of the prompts whose answers were beginning, without the last one of each prompt.
-    pub suspects: Vec<u64>,
-}
-
-/// A quarantined part, as reported to other instances.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Verdict {
-    /// The part.
-    pub part: ServicePart,
-    /// Time since it was quarantined.
-    pub age: Duration,
-    /// Time since the last request with it.
-    pub seen: Duration,
-    /// Crashes that it explains.
-    pub crashes: u32,
-}
-
-/// A run with a suspected part that survived.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Survival {
-    /// The part.
-    pub part: ServicePart,
-    /// Time since then.
-    pub age: Duration,
-}
-
-/// A change of the set of quarantined parts.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum QuarantineChange {
-    /// A part is quarantined.
-    Added(Verdict),
-    /// A part is quarantined no longer, since a run with it survived.
-    Released(ServicePart),
-    /// A part is quarantined no longer, since no requests with it came.
-    Forgotten(ServicePart),
-}
-
-/// What to do with a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum QuarantineCheck {
-    /// No part is quarantined.
-    Clear,
-    /// The request is the trial of a quarantined part.
-    Trial(u64),
-    /// The request holds this quarantined part and must not be sent.
-    Denied(u64),
-}
-
 #[derive(Clone, Debug)]
 struct Crash {
     process: ProcessKey,
--- /dev/null
+++ b/crates/policy/src/quarantine/report.rs
@@ -0,0 +1,78 @@
+//! Reports about crashes of endpoints and quarantined prompt parts.
+
+use std::time::Duration;
+
+/// A prompt part at a service, both as hashes.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ServicePart {
+    /// Hash of the service's name.
+    pub service: u64,
+    /// Identifier of the part.
+    pub part: u64,
+}
+
+/// One process of an endpoint.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ProcessKey {
+    /// Hash of the endpoint's name.
+    pub endpoint: u64,
+    /// Start time in Unix milliseconds.
+    pub born: u64,
+}
+
+/// A crash of an endpoint, as one instance observed it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CrashReport {
+    /// The process that crashed.
+    pub process: ProcessKey,
+    /// Hash of the name of its service.
+    pub service: u64,
+    /// Time since the crash.
+    pub age: Duration,
+    /// Parts of the prompts whose answers were beginning, without the last one of each prompt.
+    pub suspects: Vec<u64>,
+}
+
+/// A quarantined part, as reported to other instances.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Verdict {
+    /// The part.
+    pub part: ServicePart,
+    /// Time since it was quarantined.
+    pub age: Duration,
+    /// Time since the last request with it.
+    pub seen: Duration,
+    /// Crashes that it explains.
+    pub crashes: u32,
+}
+
+/// A run with a suspected part that survived.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Survival {
+    /// The part.
+    pub part: ServicePart,
+    /// Time since then.
+    pub age: Duration,
+}
+
+/// A change of the set of quarantined parts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum QuarantineChange {
+    /// A part is quarantined.
+    Added(Verdict),
+    /// A part is quarantined no longer, since a run with it survived.
+    Released(ServicePart),
+    /// A part is quarantined no longer, since no requests with it came.
+    Forgotten(ServicePart),
+}
+
+/// What to do with a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QuarantineCheck {
+    /// No part is quarantined.
+    Clear,
+    /// The request is the trial of a quarantined part.
+    Trial(u64),
+    /// The request holds this quarantined part and must not be sent.
+    Denied(u64),
+}
--- a/crates/serve/src/digest.rs
+++ b/crates/serve/src/digest.rs
@@ -12,10 +12,8 @@
 use bincode::error::{DecodeError, EncodeError};
 use bincode::{Decode, Encode};
 
-use crate::datagram::{
-    Identity, Pulse, PulseCrash, PulseCrashes, PulseLimit, PulseLimits, PulseLoad, PulseSurvival,
-    PulseVerdict,
-};
+use crate::datagram::{Identity, Pulse, PulseLimit, PulseLimits, PulseLoad};
+use crate::pulse_crashes::{PulseCrash, PulseCrashes, PulseSurvival, PulseVerdict};
 
 /// Reports that a collector forwards to its own failure domain or to the collectors of others.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -38,6 +38,7 @@
 mod plain;
 mod pool;
 mod pulse;
+mod pulse_crashes;
 mod reach;
 mod read_limit;
 mod relay;
@@ -65,8 +66,8 @@
 pub use connection::{Connection, ConnectionSettings, SendError, exchange};
 pub use cursor::{Cursor, TableUpdate};
 pub use datagram::{
-    Bulletin, BulletinTable, BulletinUpdate, Datagram, Identity, Pulse, PulseCrash, PulseCrashes,
-    PulseLimit, PulseLimits, PulseLoad, PulseSurvival, PulseVerdict, TableState,
+    Bulletin, BulletinTable, BulletinUpdate, Datagram, Identity, Pulse, PulseLimit, PulseLimits,
+    PulseLoad, TableState,
 };
 pub use digest::{Digest, DigestNews, DomainSums};
 pub use endpoint_list::EndpointList;
@@ -76,6 +77,7 @@
 pub use node::{LimitChange, Node, NodeSettings, Search};
 pub use outbox::LoadChanges;
 pub use pacer::Pacer;
+pub use pulse_crashes::{PulseCrash, PulseCrashes, PulseSurvival, PulseVerdict};
 pub use reload::Reload;
 pub use run::{Process, ServeError, Setup};
 pub use sharing::Sharing;
--- a/crates/serve/src/news.rs
+++ b/crates/serve/src/news.rs
@@ -7,10 +7,9 @@
 
 use agatestair_policy::{CrashReport, Moment, ProcessKey, ServicePart, Survival, Verdict};
 
-use crate::datagram::{
-    Pulse, PulseCrash, PulseCrashes, PulseLimit, PulseSurvival, PulseVerdict, millis,
-};
+use crate::datagram::{Pulse, PulseLimit, millis};
 use crate::digest::{DigestNews, put_crash, put_limit, put_survival, put_verdict};
+use crate::pulse_crashes::{PulseCrash, PulseCrashes, PulseSurvival, PulseVerdict};
 use crate::room::Room;
 
 /// Largest number of pending items of each kind; the oldest is dropped first. No instance keeps more
@@ -139,7 +138,8 @@
             && crashes.items.is_empty()
     }
 
-    /// Drains what there is room for: what ends harm first, within a kind the oldest.
+    /// Drains what there is room for: verdicts, limits, survivals, then crashes; within a kind the
+    /// oldest first.
     pub fn take(&mut self, room: &mut Room, now: Moment) -> DigestNews {
         let age = |at: Moment| now.since(at);
         let mut taken = DigestNews::default();
--- a/crates/serve/src/node/crashes.rs
+++ b/crates/serve/src/node/crashes.rs
@@ -8,8 +8,8 @@
     CrashReport, Moment, ProcessKey, QuarantineChange, QuarantineCheck, Survival, Verdict,
 };
 
-use crate::datagram::{PulseCrash, PulseCrashes, PulseSurvival, PulseVerdict};
 use crate::node::Node;
+use crate::pulse_crashes::{PulseCrash, PulseCrashes, PulseSurvival, PulseVerdict};
 
 /// Time for which datagrams repeat reports: three rounds, since some datagrams may be lost.
 const REPEAT: Duration = Duration::from_millis(120);
