--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -182,7 +182,7 @@
         quarantined: &[GUILTY, SECOND_GUILTY],
     },
     Case {
-        name: "crashes that a quarantined part explains are not held against others",
+        name: "crashes that a quarantined part explains do not count for others",
         steps: &[
             Crash(0, &[GUILTY]),
             Crash(500, &[GUILTY, HOT]),
--- a/crates/serve/src/crash.rs
+++ b/crates/serve/src/crash.rs
@@ -54,7 +54,7 @@
     log_changes(&shared, &changes, None);
 }
 
-/// The error by which the endpoint's machine shows that no process listens any more.
+/// The error of a new connection if no process listens at the endpoint's address any more.
 async fn refusal(shared: &Shared, guard: &AttemptGuard) -> Option<io::Error> {
     let settings = ConnectionSettings { connect: CHECK_TIME, ..ConnectionSettings::default() };
     match Connection::open(guard.placement.address, &settings).await {
--- a/crates/testbed/src/matrix/trace.rs
+++ b/crates/testbed/src/matrix/trace.rs
@@ -1,6 +1,5 @@
 //! Writes what is known of the requests of a failed cell beside the logs of its processes.
 
-use std::fmt::Write as _;
 use std::fs;
 
 use agatestair_schema::standins::RunRecord;
@@ -23,23 +22,21 @@
     callers: &[CallerRecord],
     records: &Records,
 ) -> Result<(), TestbedError> {
-    let mut text = String::new();
+    let mut lines = Vec::new();
     for caller in callers {
-        // Writing to a string cannot fail.
-        let _ = writeln!(text, "{caller:?}");
+        lines.push(format!("{caller:?}"));
         let belongs = |run: &&RunRecord| {
             (!caller.request.is_empty() && run.request == caller.request)
                 || (!caller.body.is_empty() && run.body == caller.body)
         };
-        for run in records.runs.iter().filter(belongs) {
-            let _ = writeln!(text, "    {run:?}");
-        }
-        if let Some(explanation) = explain(testbed, caller) {
-            let _ = writeln!(text, "    {explanation}");
-        }
+        let runs = records.runs.iter().filter(belongs);
+        lines.extend(runs.map(|run| format!("    {run:?}")));
+        let explanation = explain(testbed, caller);
+        lines.extend(explanation.map(|explanation| format!("    {explanation}")));
     }
     let path = testbed.folder().join(FILE);
-    fs::write(&path, text).map_err(|cause| TestbedError::io(path.display().to_string(), cause))
+    fs::write(&path, lines.join("\n") + "\n")
+        .map_err(|cause| TestbedError::io(path.display().to_string(), cause))
 }
 
 /// The entry's explanation of a request, as JSON. Only the request's customer gets it, so each is
