A refusal tells how many endpoints the instance may use

Where endpoints accept fewer connections than there are instances, some instances have none and refuse. It has `used` now: the number of the service's endpoints that this instance may use, null if all.

--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -222,10 +222,16 @@
     }
 
     fn log_denial(&self, search: Search, denial: &Denial, share: Option<f64>, part: Option<u64>) {
+        let (service, connections) = (self.service.name.clone(), self.service.connections);
+        let tried = self.tried.clone();
+        let used = self
+            .shared
+            .hub
+            .ask(move |node, now| node.endpoints_used(&service, connections, &tried, now));
         log_event!(self.shared.log, NOT_PLACED, "request" => self.forwarded.id.as_deref(),
             "service" => &*self.service.name, "search" => search.label(),
             "cause" => format!("{:?}", denial.cause), "share" => share,
-            "part" => part.map(|part| format!("{part:x}")), "version" => self.version,
+            "used" => used, "part" => part.map(|part| format!("{part:x}")), "version" => self.version,
             "back_ms" => denial.retry_after.as_millis() as u64,
             "aim_ms" => self.route.objective.as_millis() as u64,
             "left_ms" => self.remaining().as_millis() as u64, "sends" => self.sends);
--- a/crates/serve/src/node/budgets.rs
+++ b/crates/serve/src/node/budgets.rs
@@ -58,6 +58,19 @@
         request.subset = share.division.map(subset);
     }
 
+    /// Number of endpoints of a service that this instance uses, `None` if it uses all. Those in
+    /// `tried` count as not accepting work.
+    pub fn endpoints_used(
+        &self,
+        service: &str,
+        connections: Option<u32>,
+        tried: &[EndpointKey],
+        now: Moment,
+    ) -> Option<usize> {
+        let division = self.connection_share(connections, now).division?;
+        Some(self.board.subset(service, &division, tried, now).len())
+    }
+
     /// Number of idle connections to an endpoint that this instance may have beside those of its
     /// attempts there, `ending` of which no longer need theirs.
     pub fn idle_share(&self, key: EndpointKey, ending: u32, now: Moment) -> usize {
