A body that ends with its connection is cut if its endpoint crashed

Cause: a body without a length or chunks ends with its connection, and a process that crashes closes its connections in good order too.

Change: such an end is believed only if the endpoint was about to leave, or if it still accepts connections; the check is the one that tells crashes from other breaks, and its connection is kept for the next request. One that refuses connections crashed: the stream breaks off or is resumed, a plain answer is retried or becomes 502. Event 5026 says how the body was framed, `agatestair_serve_unframed_total` counts both outcomes.

--- a/crates/serve/src/crash.rs
+++ b/crates/serve/src/crash.rs
@@ -12,6 +12,7 @@
 use crate::call::Call;
 use crate::connection::{Connection, ConnectionSettings};
 use crate::events::{ENDPOINT_CRASHED, PART_QUARANTINED, PART_RELEASED};
+use crate::framing::Framing;
 use crate::reach::note_unreachable;
 use crate::shared::Shared;
 
@@ -25,15 +26,10 @@
 /// since its answer began.
 pub async fn note_broken(call: &mut Call, guard: &AttemptGuard, answering: Option<Duration>) {
     let shared = call.shared.clone();
-    let (key, process) = (guard.placement.key, guard.placement.process);
-    if !shared.hub.ask(move |node, _| node.board.is_open(key)) {
-        // It was about to exit, or is no longer listed.
+    if !has_crashed(&shared, guard).await {
         return;
     }
-    if !shared.hub.ask(move |node, _| node.quarantine.has_crashed(process)) {
-        let Some(error) = refusal(&shared, guard).await else { return };
-        note_unreachable(&shared, &guard.placement, &error);
-    }
+    let process = guard.placement.process;
     call.crashes += 1;
     let survived = answering.is_some_and(|time| time >= SURVIVED_AFTER);
     let (service, parts) = (call.service.name.clone(), call.shared_parts());
@@ -54,6 +50,39 @@
     log_changes(&shared, &changes, None);
 }
 
+/// Whether the process of an endpoint that was not about to exit accepts no connections any more.
+pub async fn has_crashed(shared: &Rc<Shared>, guard: &AttemptGuard) -> bool {
+    let (key, process) = (guard.placement.key, guard.placement.process);
+    if !shared.hub.ask(move |node, _| node.board.is_open(key)) {
+        // It was about to exit, or is no longer listed.
+        return false;
+    }
+    if shared.hub.ask(move |node, _| node.quarantine.has_crashed(process)) {
+        return true;
+    }
+    let Some(error) = refusal(shared, guard).await else { return false };
+    note_unreachable(shared, &guard.placement, &error);
+    true
+}
+
+/// Why a body that ended in good order is not whole, if it is not.
+///
+/// The end of a connection is the only sign that a body without a length or chunks is whole, and a
+/// process that crashes ends its connections in the same way.
+pub async fn cut_by_crash(
+    shared: &Rc<Shared>,
+    guard: &AttemptGuard,
+    framing: Framing,
+) -> Option<&'static str> {
+    if framing != Framing::Connection {
+        return None;
+    }
+    let crashed = has_crashed(shared, guard).await;
+    let outcome = if crashed { "crashed" } else { "whole" };
+    metrics::counter!("agatestair_serve_unframed_total", "outcome" => outcome).increment(1);
+    crashed.then_some("the endpoint crashed as it ended a body without a length")
+}
+
 /// The error of a new connection if no process listens at the endpoint's address any more.
 async fn refusal(shared: &Shared, guard: &AttemptGuard) -> Option<io::Error> {
     let settings = ConnectionSettings { connect: CHECK_TIME, ..ConnectionSettings::default() };
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -25,6 +25,7 @@
 mod endpoint_list;
 pub mod events;
 mod explain;
+mod framing;
 mod generate;
 mod handle;
 mod hub;
--- a/crates/serve/src/plain.rs
+++ b/crates/serve/src/plain.rs
@@ -7,7 +7,8 @@
 use crate::attempt_guard::AttemptGuard;
 use crate::body::ResponseBody;
 use crate::call::{Call, after_failure};
-use crate::crash::note_broken;
+use crate::crash::{cut_by_crash, note_broken};
+use crate::framing::Framing;
 use crate::node::Search;
 use crate::response::{Failure, respond};
 use crate::send::{EndpointResponse, SendOutcome};
@@ -76,8 +77,12 @@
     if status.is_success() && !response.facts.signed {
         return Err(SendOutcome::Unknown("the answer is not signed".to_owned()));
     }
+    let framing = Framing::of(&call.forwarded.method, status, &headers);
     let (bytes, buffer, connection) =
         response.read(&call.shared.buffer_limit, MAX_HELD_BYTES).await?;
+    if let Some(cause) = cut_by_crash(&call.shared, guard, framing).await {
+        return Err(SendOutcome::Unknown(cause.to_owned()));
+    }
     call.shared.return_connection(guard.placement.key, connection);
     Ok(respond(status, headers, ResponseBody::buffered(bytes, buffer)))
 }
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -5,7 +5,7 @@
 use agatestair_policy::board::FailureKind;
 use agatestair_runtime::log_event;
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Method, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -17,8 +17,9 @@
 use crate::buffer_limit::BufferGuard;
 use crate::call::Call;
 use crate::connection::Connection;
-use crate::crash::{note_broken, note_survived};
+use crate::crash::{cut_by_crash, note_broken, note_survived};
 use crate::events::{ATTEMPT_FAILED, RESUMED, STREAMED};
+use crate::framing::Framing;
 use crate::generate::response_limit;
 use crate::node::Search;
 use crate::reach::until_unreachable;
@@ -43,20 +44,18 @@
     begun: Instant,
     /// Media type of the body, if given.
     media: Option<String>,
-    /// Whether the body ends with its connection, without a length or chunks.
-    unframed: bool,
+    framing: Framing,
     /// Number of the stream's events before this run.
     begin: u64,
 }
 
 impl Run {
-    fn new(guard: AttemptGuard, response: EndpointResponse, begin: u64) -> Self {
+    fn new(call: &Call, guard: AttemptGuard, response: EndpointResponse, begin: u64) -> Self {
         let headers = &response.headers;
         Self {
             guard,
             media: media_type(headers),
-            unframed: !headers.contains_key(CONTENT_LENGTH)
-                && !headers.contains_key(TRANSFER_ENCODING),
+            framing: Framing::of(&call.forwarded.method, response.status, headers),
             begin,
             body: response.body,
             connection: response.connection,
@@ -69,7 +68,7 @@
     /// events, and whose framing shows that it is whole, may hold none.
     fn holds_events(&self, events: &EventSplitter) -> bool {
         let declared = self.media.as_deref() == Some(EVENT_STREAM);
-        declared || self.unframed || events.events > 0
+        declared || self.framing == Framing::Connection || events.events > 0
     }
 
     /// Why a body that ended with its connection in good order is not whole, if it is not.
@@ -77,7 +76,7 @@
         if self.holds_events(events) && !rest.trim_ascii().is_empty() {
             return Some("the stream ended in the middle of an event");
         }
-        let is_empty = self.unframed && events.events == self.begin;
+        let is_empty = self.framing == Framing::Connection && events.events == self.begin;
         is_empty.then_some("the stream ended before its first event")
     }
 }
@@ -131,7 +130,7 @@
 pub fn relay(call: Call, guard: AttemptGuard, response: EndpointResponse) -> ResponseBody {
     let (chunks, body) = mpsc::channel(QUEUED_CHUNKS);
     let status = response.status;
-    let run = Run::new(guard, response, 0);
+    let run = Run::new(&call, guard, response, 0);
     let streams = match run.media.as_deref() {
         Some(media) => status.is_success() && media == EVENT_STREAM,
         None => status == StatusCode::OK,
@@ -170,7 +169,10 @@
         };
         match frame {
             Err(_) => return Err(Stop::TimedOut),
-            Ok(None) => return Ok(()),
+            Ok(None) => {
+                let cut = cut_by_crash(&call.shared, &run.guard, run.framing).await;
+                return cut.map_or(Ok(()), |cause| Err(Stop::Broken(cause.to_owned())));
+            }
             Ok(Some(Err(error))) => return Err(Stop::Broken(error.to_string())),
             Ok(Some(Ok(frame))) => {
                 let bytes = frame.into_data().unwrap_or_default();
@@ -188,7 +190,7 @@
     call.shared.return_connection(run.guard.placement.key, run.connection);
     // Sending fails if the caller has disconnected; the response is over either way.
     drop(chunks.send(Chunk::End).await);
-    log_complete(call, &run.guard, events);
+    log_complete(call, &run.guard, run.framing, events);
 }
 
 async fn relay_stream(mut call: Call, mut run: Run, chunks: mpsc::Sender<Chunk>) {
@@ -236,7 +238,11 @@
             Err(_) => return Err(Stop::Broken("stream stalled".to_owned())),
             Ok(None) => {
                 let rest = events.take_rest();
-                if let Some(defect) = run.defect(events, &rest) {
+                let mut defect = run.defect(events, &rest);
+                if defect.is_none() {
+                    defect = cut_by_crash(&call.shared, &run.guard, run.framing).await;
+                }
+                if let Some(defect) = defect {
                     return Err(Stop::Broken(defect.to_owned()));
                 }
                 return if rest.is_empty() { Ok(()) } else { send_chunk(chunks, rest).await };
@@ -258,7 +264,7 @@
     }
 }
 
-fn log_complete(call: &Call, guard: &AttemptGuard, events: &EventSplitter) {
+fn log_complete(call: &Call, guard: &AttemptGuard, framing: Framing, events: &EventSplitter) {
     call.note_duration();
     if events.events > 0 {
         note_survived(call);
@@ -266,7 +272,7 @@
     metrics::counter!("agatestair_serve_streams_total", "end" => "complete").increment(1);
     log_event!(call.shared.log, STREAMED, "request" => call.forwarded.id.as_deref(),
         "endpoint" => &*guard.placement.name, "events" => events.events,
-        "pause_ms" => events.max_gap.as_millis() as u64,
+        "framing" => framing.label(), "pause_ms" => events.max_gap.as_millis() as u64,
         "ms" => call.arrived.elapsed().as_millis() as u64);
 }
 
@@ -386,5 +392,5 @@
     guard.note_first();
     log_event!(call.shared.log, RESUMED, "request" => call.forwarded.id.as_deref(),
         "endpoint" => &*guard.placement.name, "after" => last, "search" => search.label());
-    Ok(Run::new(guard, *response, events.events))
+    Ok(Run::new(call, guard, *response, events.events))
 }
