A broken answer to an HTTP/1.0 caller ends with a reset

Cause: its response has neither a length nor chunks, and hyper closes the connection in good order when the body fails.

Change: if the body of a response to such a caller fails, the connection is reset. Callers of HTTP/1.1 miss the last chunk and keep what had arrived, as before.

Evidence: a_broken_stream_to_an_http_1_0_caller_ends_with_a_reset, 2 of 2 cases closed in good order before; the whole stream is closed in good order before and after.

--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +9,7 @@
 use agatestair_runtime::{MetricsHandle, log_event, set_send_buffer};
 use agatestair_schema::settings::ServeSettings;
 use http::header::CONNECTION;
-use http::{HeaderValue, Response, StatusCode};
+use http::{HeaderValue, Response, StatusCode, Version};
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -224,29 +223,37 @@
     }
     let limits = shared.hub.ask(|node, _| node.limits());
     let handler = shared.clone();
-    let service = service_fn(move |request| {
+    let version = Rc::new(Cell::new(Version::HTTP_11));
+    let latest = version.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
         let shared = handler.clone();
+        latest.set(request.version());
         async move { Ok::<_, Infallible>(dispatch(shared, request, kind).await) }
     });
     // hyper's header timeout also applies to idle connections, so the longer limit is used.
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time.max(limits.head_time))
         .max_buf_size(limits.head_bytes.max(8192) * 2)
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
     let ended = tokio::select! {
         // A request that has arrived is read before the connection is closed.
         biased;
-        ended = connection.as_mut() => ended,
+        ended = &mut connection => ended,
         () = shared.closing.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
-    if let Err(error) = ended {
-        log_event!(shared.log, CONNECTION_FAILED, "error" => error.to_string());
+    let Err(error) = ended else { return };
+    log_event!(shared.log, CONNECTION_FAILED, "error" => error.to_string());
+    if error.is_user() && version.get() < Version::HTTP_11 {
+        // Such a caller takes a connection that is closed in good order for the end of its response.
+        let stream = connection.into_parts().io.into_inner();
+        if let Err(error) = stream.set_zero_linger() {
+            log_event!(shared.log, CONNECTION_FAILED, "error" => error.to_string());
+        }
     }
 }
 
