Versions of the store are compared within one timeline only

Cause: a restored store assigns versions again, and every position in its tables was believed to rise only. An instance that held version 134 of before took the new change at version 134 for known: 12 of 78 instances dropped the bulletin with it. An instance that follows the store itself was saved by 410 only if the store's version was still behind its own when it asked; else it missed what was written below, without any error.

`Timeline` decides in one place what a response belongs to. When a new one begins, pending calls end, all cursors start anew and the tables are read again; in a fleet of 25 or more the watchers first, the others spread over 5 ms an instance. What the former timeline says, late responses, queued changes, bulletins of a sender that has not learned of the restore, is dropped; pages of one reading must be of one timeline. What is known stays in force until then: the newest configuration; endpoints that the copy lacks, for the grace period after an outage; that an endpoint drains, until its row is written again; that one has left, for 5 s. A store that keeps naming a lower timeline for 10 s is followed. Events 5050 to 5053 and 5055.

--- a/crates/serve/src/bulletins.rs
+++ b/crates/serve/src/bulletins.rs
@@ -16,7 +16,8 @@
 use crate::pulse::{encode, send_bytes};
 use crate::shared::Shared;
 use crate::store::Table;
-use crate::watch::{apply, expire};
+use crate::timeline::TimelineNews;
+use crate::watch::{Extent, apply, expire};
 use crate::watchers::Rank;
 
 /// Time between two bulletins without changes.
@@ -25,6 +26,15 @@
 /// Time after which changes are sent a second time.
 const REPEAT: Duration = Duration::from_millis(120);
 
+/// Changes of a table, with the timeline of the store to which their versions belong.
+#[derive(Clone, Debug)]
+pub struct TimedUpdate {
+    /// The timeline.
+    pub timeline: Option<u64>,
+    /// The changes.
+    pub update: BulletinUpdate,
+}
+
 /// Sends bulletins while this instance is a watcher.
 pub async fn send_bulletins(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
     let mut round = 0;
@@ -56,22 +66,21 @@
     }
 }
 
-async fn send_bulletin(
-    shared: &Shared,
-    socket: &UdpSocket,
-    news: Option<BulletinUpdate>,
-    round: u64,
-) {
+async fn send_bulletin(shared: &Shared, socket: &UdpSocket, news: Option<TimedUpdate>, round: u64) {
     let link = shared.settings().machine.link_mbps;
     let composed = shared.hub.ask(move |node, now| {
         let (answered, returned) = node.endpoint_list.contact(now)?;
         let watching = node.members.is_large() && node.watchers.watching();
         let own = node.own().0;
+        let timeline = node.timeline.current();
+        // Versions of changes that were queued before a restore mean nothing after it.
+        let news = news.filter(|news| news.timeline == timeline).map(|news| news.update);
         let bulletin = Bulletin {
             sender: node.name_hash,
             weight: own.weight,
             answered_ms: millis(answered),
             returned_ms: returned.map(millis),
+            timeline,
             tables: [BulletinTable::Configuration, BulletinTable::Endpoints]
                 .map(|table| {
                     let cursor = node.cursor(table.into());
@@ -124,8 +133,16 @@
 
 /// Handles a received bulletin.
 pub fn handle_bulletin(shared: &Shared, bulletin: Bulletin) {
-    let Bulletin { sender, weight, answered_ms, returned_ms, tables, news } = bulletin;
+    let Bulletin { sender, weight, answered_ms, returned_ms, timeline, tables, news } = bulletin;
     let age = Duration::from_millis(answered_ms.into());
+    let name = shared.hub.ask(move |node, _| node.members.name(sender));
+    if shared.note_peer_timeline(timeline, name.as_deref(), age) == TimelineNews::Former {
+        // The sender has not learned of the restore yet.
+        shared.hub.ask(move |node, now| node.watchers.note(Rank::new(weight, sender), age, now));
+        metrics::counter!("agatestair_serve_former_answers_total", "source" => "bulletin")
+            .increment(1);
+        return;
+    }
     let returned = returned_ms.map(|ms| Duration::from_millis(ms.into()));
     shared.hub.ask(move |node, now| {
         node.watchers.note(Rank::new(weight, sender), age, now);
@@ -136,7 +153,7 @@
         let rows =
             shared.hub.ask(move |node, now| node.cursor(table).note_update(news.into(), now));
         if !rows.is_empty() {
-            apply(shared, table, rows, false, "bulletin");
+            apply(shared, table, rows, Extent::Changes, "bulletin");
         }
     }
     let behind = shared.hub.ask(move |node, now| {
--- a/crates/serve/src/cursor.rs
+++ b/crates/serve/src/cursor.rs
@@ -32,6 +32,8 @@
     behind: Option<Moment>,
     /// Whether the store no longer had changes that were requested.
     history_lost: bool,
+    /// When the table is to be read again because the store was restored; `None` once it was read.
+    restart: Option<Moment>,
     /// Keys of the rows that cannot be parsed.
     malformed: HashSet<RowKey>,
 }
@@ -46,6 +48,7 @@
         let last = changes.rows.iter().map(|row| row.version).max();
         self.tip = self.tip.max(last.unwrap_or_default());
         if full {
+            self.restart = None;
             let from = last.filter(|_| !self.history_lost).unwrap_or(changes.version);
             self.base = from;
             if changes.version >= self.peer_tip {
@@ -63,8 +66,12 @@
 
     /// Advances by changes from another instance; returns the rows that are new here, or none if
     /// there is a gap before them.
+    ///
+    /// Changes since version 0 are the whole table, which makes the reading after a restore
+    /// unnecessary.
     pub fn note_update(&mut self, update: TableUpdate, now: Moment) -> Vec<Row> {
-        let Some(known) = self.known else { return Vec::new() };
+        let whole = self.restart.is_some() && update.since == 0;
+        let Some(known) = self.known.or(whole.then_some(0)) else { return Vec::new() };
         self.note_tip(update.rows.iter().map(|row| row.version).max().unwrap_or_default(), now);
         if known < update.since || known >= update.upto {
             return Vec::new();
@@ -73,6 +80,7 @@
         let last = rows.iter().map(|row| row.version).max().unwrap_or_default();
         self.tip = self.tip.max(last);
         self.base = self.base.max(last);
+        self.restart = None;
         self.advance(update.upto);
         rows
     }
@@ -115,6 +123,17 @@
         self.history_lost = true;
     }
 
+    /// Starts anew in another timeline of the store; the table is to be read at `due`.
+    pub fn restart(&mut self, due: Moment) {
+        let malformed = std::mem::take(&mut self.malformed);
+        *self = Self { malformed, restart: Some(due), ..Self::default() };
+    }
+
+    /// When the table is to be read again, if the store was restored since the last reading.
+    pub fn restart_due(&self) -> Option<Moment> {
+        self.restart
+    }
+
     /// Records that a row cannot be parsed; returns whether this was not known before.
     pub fn note_malformed(&mut self, key: &RowKey) -> bool {
         self.malformed.insert(key.clone())
--- a/crates/serve/src/datagram.rs
+++ b/crates/serve/src/datagram.rs
@@ -30,7 +30,7 @@
 const RATE_SCALE: f64 = 1000.0;
 
 /// Version of the layout, the first byte of a datagram; datagrams with another one are rejected.
-const LAYOUT: u8 = 6;
+const LAYOUT: u8 = 7;
 
 /// One datagram.
 #[derive(Clone, Debug, Decode, Encode, PartialEq)]
@@ -330,6 +330,8 @@
     pub answered_ms: u32,
     /// Milliseconds since the end of the last outage of the store, if the sender noticed one.
     pub returned_ms: Option<u32>,
+    /// Timeline of the store to which all versions belong, if it names one.
+    pub timeline: Option<u64>,
     /// Versions of the tables at the sender.
     pub tables: Vec<TableState>,
     /// Changed rows of one table.
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -136,6 +136,21 @@
 /// A part of prompts is no longer quarantined.
 pub const PART_RELEASED: Event =
     Event { number: 5048, level: Level::Info, text: "prompt part released" };
+/// The store was restored from a copy; its tables are read again.
+pub const STORE_RESTORED: Event =
+    Event { number: 5050, level: Level::Warning, text: "store restored" };
+/// A table was read again after a restore of the store.
+pub const TABLE_READ_AGAIN: Event =
+    Event { number: 5051, level: Level::Info, text: "table read after a restore" };
+/// An entry of a restored store is older than what is known of its endpoint, and is not used.
+pub const ENTRY_HELD: Event =
+    Event { number: 5052, level: Level::Info, text: "outdated entry of a restored store" };
+/// A response that the store sent before it was restored is not used.
+pub const ANSWER_FORMER: Event =
+    Event { number: 5053, level: Level::Info, text: "response from before the restore dropped" };
+/// The store names a timeline that cannot be parsed. Only the first one is logged.
+pub const TIMELINE_MALFORMED: Event =
+    Event { number: 5055, level: Level::Warning, text: "malformed timeline of the store" };
 /// All events of this crate.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -184,4 +199,9 @@
     PART_QUARANTINED,
     PART_RELEASED,
     PART_TRIED,
+    STORE_RESTORED,
+    TABLE_READ_AGAIN,
+    ENTRY_HELD,
+    ANSWER_FORMER,
+    TIMELINE_MALFORMED,
 ];
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -53,6 +53,7 @@
 mod shutdown;
 mod store;
 mod stream;
+mod timeline;
 mod token_bucket;
 mod watch;
 mod watchers;
@@ -82,8 +83,11 @@
 pub use reload::Reload;
 pub use run::{Process, ServeError, Setup};
 pub use sharing::Sharing;
-pub use store::{Changes, LocalFuture, Row, RowKey, StoreClient, StoreError, Table, Transaction};
+pub use store::{
+    Changes, LocalFuture, Reply, Row, RowKey, StoreClient, StoreError, Table, Transaction,
+};
 pub use stream::{EventSplitter, StreamError};
+pub use timeline::{Timeline, TimelineNews};
 pub use token_bucket::{LinkShare, TokenBucket};
 pub use watchers::{Rank, Watchers};
 pub use wire::{
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -30,11 +30,12 @@
 use crate::collectors::Collectors;
 use crate::configuration::{Configuration, Limits, RouteMatch};
 use crate::cursor::Cursor;
-use crate::endpoint_list::EndpointList;
+use crate::endpoint_list::{EndpointList, Restored};
 use crate::members::{Member, MemberState, Members};
 use crate::pacer::Pacer;
 use crate::sharing::Sharing;
 use crate::store::Table;
+use crate::timeline::{Timeline, TimelineNews};
 use crate::token_bucket::TokenBucket;
 use crate::watchers::{WATCHERS, Watchers};
 
@@ -42,6 +43,9 @@
 /// of 383 tokens, prefilled at 93 tokens per millisecond.
 const UNSEEN_WORK: Duration = Duration::from_millis(4);
 
+/// Time per known instance over which a large fleet spreads the readings of the store after a restore.
+const READ_SPREAD: Duration = Duration::from_millis(5);
+
 /// Largest number of prompt parts that are queued for other instances.
 const MAX_SENT_PARTS: usize = 256;
 
@@ -179,6 +183,8 @@
     pub name_hash: u64,
     /// Hash of the name of its failure domain.
     pub domain: u64,
+    /// The timeline of the store to which the positions in its tables belong.
+    pub timeline: Timeline,
     configurations: Cursor,
     endpoints: Cursor,
     budgets: HashMap<Arc<str>, RetryBudget>,
@@ -221,6 +227,7 @@
             collection: Collection::default(),
             name_hash: name_hash(&settings.own.name),
             domain: name_hash(&settings.own.domain),
+            timeline: Timeline::default(),
             configurations: Cursor::default(),
             endpoints: Cursor::default(),
             budgets: HashMap::new(),
@@ -296,6 +303,42 @@
         if table == Table::Configuration { &mut self.configurations } else { &mut self.endpoints }
     }
 
+    /// Records the timeline that a response of the store names. If the store was restored, all
+    /// positions in its tables start anew, and what is known stays until the tables are read.
+    pub fn note_timeline(&mut self, named: Option<u64>, now: Moment) -> TimelineNews {
+        let news = self.timeline.note_response(named, now);
+        self.follow_timeline(news, now)
+    }
+
+    /// Like [`Node::note_timeline`] for the timeline that another instance follows.
+    pub fn note_peer_timeline(&mut self, named: Option<u64>, now: Moment) -> TimelineNews {
+        let news = self.timeline.note_peer(named);
+        self.follow_timeline(news, now)
+    }
+
+    fn follow_timeline(&mut self, news: TimelineNews, now: Moment) -> TimelineNews {
+        let TimelineNews::Began { former } = news else { return news };
+        let is_known = self.configurations.known.is_some() || self.endpoints.known.is_some();
+        if former.is_none() && !is_known {
+            return TimelineNews::Current;
+        }
+        let due = now + self.restart_delay(now);
+        self.configurations.restart(due);
+        self.endpoints.restart(due);
+        self.endpoint_list.note_restored(now);
+        news
+    }
+
+    /// Time after which this instance reads the store again after a restore. In a large fleet those
+    /// that follow the store for others go first.
+    pub fn restart_delay(&self, now: Moment) -> Duration {
+        if !self.members.is_large() || self.is_preferred(now) {
+            return Duration::ZERO;
+        }
+        let members = u32::try_from(self.members.count(now)).unwrap_or(u32::MAX);
+        READ_SPREAD.saturating_mul(members).mul_f64(self.settings.draw)
+    }
+
     /// Whether this instance is one of those preferred to follow the store for others.
     pub fn is_preferred(&self, now: Moment) -> bool {
         let own = self.settings.own.rank();
@@ -494,6 +537,17 @@
         self.endpoint_list.upsert(&mut self.board, facts)
     }
 
+    /// Adds or updates an endpoint from a row that a reading of a restored store shows, unless more
+    /// is known of it.
+    pub fn note_restored_endpoint(
+        &mut self,
+        facts: EndpointFacts,
+        version: u64,
+        now: Moment,
+    ) -> Restored {
+        self.endpoint_list.upsert_restored(&mut self.board, facts, version, now)
+    }
+
     /// Handles the removal of an endpoint from the store's list; returns whether the endpoint was
     /// removed at once.
     pub fn drop_endpoint(&mut self, name: &str, now: Moment) -> bool {
@@ -512,4 +566,9 @@
         self.sharing.expire(now);
         self.endpoint_list.expire(&mut self.board)
     }
+
+    /// Adds the endpoints whose entries in a restored store were held back; returns their names.
+    pub fn release_endpoints(&mut self, now: Moment) -> Vec<Arc<str>> {
+        self.endpoint_list.release(&mut self.board, now)
+    }
 }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -183,6 +183,8 @@
         table_updates: Outbox::default(),
         urgent: Notify::new(),
         wakeups: TableWakeups::default(),
+        restored: Notify::new(),
+        timeline_malformed: Cell::new(false),
         quarantined: Notify::new(),
         leaving: CancellationToken::new(),
         closing: CancellationToken::new(),
@@ -315,14 +317,14 @@
         removals: Vec::new(),
     };
     shared.row_unsure.set(true);
-    (shared.store.commit)(transaction).await?;
+    shared.settle((shared.store.commit)(transaction).await)?;
     shared.row_unsure.set(false);
     read_members(shared, own).await.map(drop)
 }
 
 /// Reads the rows of the other instances; returns whether the own row exists and is up to date.
 async fn read_members(shared: &Shared, own: &Member) -> Result<bool, StoreError> {
-    let rows = (shared.store.read)(Table::Instances).await?;
+    let rows = shared.settle((shared.store.read)(Table::Instances).await)?;
     let mut written = false;
     for row in rows.rows {
         let Some(value) = row.value else { continue };
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -22,16 +22,17 @@
 
 use crate::body::ResponseBody;
 use crate::buffer_limit::BufferLimit;
+use crate::bulletins::TimedUpdate;
 use crate::connection::Connection;
-use crate::datagram::BulletinUpdate;
-use crate::events::{ACCEPT_FAILED, CONNECTION_FAILED};
+use crate::events::{ACCEPT_FAILED, CONNECTION_FAILED, STORE_RESTORED, TIMELINE_MALFORMED};
 use crate::hub::Hub;
 use crate::listen::configure;
 use crate::open_requests::OpenRequests;
 use crate::outbox::{LoadChanges, Outbox};
 use crate::pool::Pool;
 use crate::shutdown::Shutdown;
-use crate::store::{StoreClient, Table};
+use crate::store::{Reply, StoreClient, StoreError, Table};
+use crate::timeline::TimelineNews;
 use crate::wire::WireFormat;
 
 /// Delay after a failed accept, so that file descriptors can be freed.
@@ -66,11 +67,15 @@
     /// Load changes to send to other instances immediately.
     pub load_changes: LoadChanges,
     /// Store changes to send to other instances.
-    pub table_updates: Outbox<BulletinUpdate>,
+    pub table_updates: Outbox<TimedUpdate>,
     /// Wakes the collector to forward a change before its next round.
     pub urgent: Notify,
     /// Signals that another instance has a newer version of a table.
     pub wakeups: TableWakeups,
+    /// Wakes calls in progress when the store was restored.
+    pub restored: Notify,
+    /// Whether a malformed timeline of the store was logged.
+    pub timeline_malformed: Cell<bool>,
     /// Wakes requests in progress when a prompt part is quarantined.
     pub quarantined: Notify,
     /// Cancelled when the instance starts to shut down.
@@ -144,6 +149,74 @@
         self.pool.sweep(&most);
     }
 
+    /// Timeline of the store that is followed, if the store names one.
+    pub fn timeline(&self) -> Option<u64> {
+        self.hub.ask(|node, _| node.timeline.current())
+    }
+
+    /// Records the timeline that a response of the store names.
+    pub fn note_timeline<T>(&self, reply: &Reply<T>) -> TimelineNews {
+        let named = match &reply.timeline {
+            Some(Err(error)) => {
+                if !self.timeline_malformed.replace(true) {
+                    log_event!(self.log, TIMELINE_MALFORMED, "error" => error.to_string());
+                }
+                None
+            }
+            Some(Ok(named)) => Some(*named),
+            None => None,
+        };
+        let news = self.hub.ask(move |node, now| node.note_timeline(named, now));
+        self.announce_restore(news, "store", None, Duration::ZERO);
+        news
+    }
+
+    /// Records the timeline that the instance `member` follows, to which the store responded `age`
+    /// ago.
+    pub fn note_peer_timeline(
+        &self,
+        named: Option<u64>,
+        member: Option<&str>,
+        age: Duration,
+    ) -> TimelineNews {
+        let news = self.hub.ask(move |node, now| node.note_peer_timeline(named, now));
+        self.announce_restore(news, "bulletin", member, age);
+        news
+    }
+
+    fn announce_restore(
+        &self,
+        news: TimelineNews,
+        source: &'static str,
+        member: Option<&str>,
+        age: Duration,
+    ) {
+        let TimelineNews::Began { former } = news else { return };
+        let delay = self.hub.ask(|node, now| node.restart_delay(now));
+        metrics::counter!("agatestair_serve_store_restores_total").increment(1);
+        log_event!(self.log, STORE_RESTORED, "timeline" => self.timeline(), "former" => former,
+            "source" => source, "member" => member,
+            "age_ms" => age.as_millis() as u64, "read_ms" => delay.as_millis() as u64);
+        self.restored.notify_waiters();
+    }
+
+    /// Waits until the store's timeline is another one than `known`.
+    pub async fn until_restored(&self, known: Option<u64>) {
+        loop {
+            let restored = self.restored.notified();
+            if self.timeline() != known {
+                return;
+            }
+            restored.await;
+        }
+    }
+
+    /// Outcome of a call of the store, whose timeline is recorded.
+    pub fn settle<T>(&self, reply: Reply<T>) -> Result<T, StoreError> {
+        self.note_timeline(&reply);
+        reply.outcome
+    }
+
     /// Number of requests in flight plus callers' open connections.
     pub fn open_work(&self) -> usize {
         self.open.len() + self.connections.get()
--- a/crates/serve/src/shutdown.rs
+++ b/crates/serve/src/shutdown.rs
@@ -160,7 +160,7 @@
         writes: Vec::new(),
         removals: vec![name.clone()],
     };
-    let removed = (shared.store.commit)(transaction).await;
+    let removed = shared.settle((shared.store.commit)(transaction).await);
     if let Err(error) = &removed {
         // Other instances remove a silent instance by themselves.
         log_event!(shared.log, ROW_WRITE_FAILED, "error" => error.to_string());
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::wire::WireError;
+
 /// A boxed future that runs on the serving thread.
 pub type LocalFuture<T> = Pin<Box<dyn Future<Output = T>>>;
 
@@ -40,6 +42,8 @@
     Refused(u16),
     /// The store no longer has the requested changes.
     HistoryLost,
+    /// The store was restored from a copy while the table was read.
+    Restored,
     /// A precondition of a transaction did not hold.
     Conflict,
     /// The response cannot be parsed.
@@ -58,6 +62,9 @@
             Self::HistoryLost => {
                 write!(f, "requested changes are no longer available; read the full table")
             }
+            Self::Restored => {
+                write!(f, "the store was restored during the reading; read the full table")
+            }
             Self::Conflict => write!(f, "a row has changed since it was read; read it again"),
             Self::Malformed(cause) => {
                 write!(f, "malformed response from the store ({cause}); check its version")
@@ -104,15 +111,31 @@
     pub removals: Vec<RowKey>,
 }
 
+/// Response of the store to a call, or why there is none.
+#[derive(Clone, Debug)]
+pub struct Reply<T> {
+    /// Timeline of the store, which any response may name; see [`Timeline`](crate::Timeline).
+    pub timeline: Option<Result<u64, WireError>>,
+    /// Outcome of the call.
+    pub outcome: Result<T, StoreError>,
+}
+
+impl<T> Reply<T> {
+    /// Converts the value of a successful call.
+    pub fn and_then<U>(self, convert: impl FnOnce(T) -> Result<U, StoreError>) -> Reply<U> {
+        Reply { timeline: self.timeline, outcome: self.outcome.and_then(convert) }
+    }
+}
+
 /// A long poll for the changes of a table after a version.
-pub type FollowCall = dyn Fn(Table, u64, Duration) -> LocalFuture<Result<Changes, StoreError>>;
+pub type FollowCall = dyn Fn(Table, u64, Duration) -> LocalFuture<Reply<Changes>>;
 
 /// Client of the platform's store; each call ends within a bounded time.
 pub struct StoreClient {
     /// Reads a full table.
-    pub read: Box<dyn Fn(Table) -> LocalFuture<Result<Changes, StoreError>>>,
+    pub read: Box<dyn Fn(Table) -> LocalFuture<Reply<Changes>>>,
     /// Waits up to the given time for changes after a version.
     pub follow: Box<FollowCall>,
     /// Commits a transaction and returns the resulting version.
-    pub commit: Box<dyn Fn(Transaction) -> LocalFuture<Result<u64, StoreError>>>,
+    pub commit: Box<dyn Fn(Transaction) -> LocalFuture<Reply<u64>>>,
 }
--- a/crates/serve/src/watch.rs
+++ b/crates/serve/src/watch.rs
@@ -8,15 +8,18 @@
 use rand::Rng;
 use tokio::time::{Instant, sleep};
 
+use crate::bulletins::TimedUpdate;
 use crate::cursor::TableUpdate;
 use crate::datagram::{BulletinTable, BulletinUpdate};
+use crate::endpoint_list::Restored;
 use crate::events::{
-    CONFIGURED, ENDPOINT_CHANGED, ENDPOINT_EXPIRED, ENDPOINT_REMOVED, READY, ROW_MALFORMED,
-    STORE_AVAILABLE, STORE_UNAVAILABLE,
+    ANSWER_FORMER, CONFIGURED, ENDPOINT_CHANGED, ENDPOINT_EXPIRED, ENDPOINT_REMOVED, ENTRY_HELD,
+    READY, ROW_MALFORMED, STORE_AVAILABLE, STORE_UNAVAILABLE, TABLE_READ_AGAIN,
 };
 use crate::node::{FollowMode, Node};
 use crate::shared::Shared;
-use crate::store::{Changes, Row, RowKey, StoreError, Table};
+use crate::store::{Changes, Reply, Row, RowKey, StoreError, Table};
+use crate::timeline::TimelineNews;
 use crate::watchers::probe_pause;
 use crate::wire::WireError;
 
@@ -77,12 +80,22 @@
     loop {
         let call = due_call(&shared, table, last_call).await;
         last_call = Instant::now();
-        let (call, response) = tokio::select! {
-            response = read(&shared, table, call) => (call, response),
+        let asked = shared.timeline();
+        let (call, reply) = tokio::select! {
+            reply = read(&shared, table, call) => (call, reply),
             // Another instance has seen a change that the pending call has not returned.
             next = missed_change(&shared, table) => (next, read(&shared, table, next).await),
+            // Versions in the pending call mean nothing any more.
+            () = shared.until_restored(asked) => continue,
         };
-        match response {
+        if !is_usable(&shared, table, call, asked, &reply) {
+            failures += 1;
+            if shared.timeline() == asked {
+                wait_to_retry(&shared, table, failures, true).await;
+            }
+            continue;
+        }
+        match reply.outcome {
             Ok(changes) => {
                 if let Some(since) = lost_at.take() {
                     log_event!(shared.log, STORE_AVAILABLE, "table" => table.label(),
@@ -119,7 +132,31 @@
     }
 }
 
-async fn read(shared: &Shared, table: Table, call: StoreCall) -> Result<Changes, StoreError> {
+/// Records the timeline of a response, and returns whether its versions belong to the one that is
+/// followed now. A call after a version must have been made in it, too.
+fn is_usable(
+    shared: &Shared,
+    table: Table,
+    call: StoreCall,
+    asked: Option<u64>,
+    reply: &Reply<Changes>,
+) -> bool {
+    let news = shared.note_timeline(reply);
+    let (named, current) =
+        (reply.timeline.as_ref().and_then(|it| it.as_ref().ok()), shared.timeline());
+    let is_same = news != TimelineNews::Former && asked == current;
+    let is_whole = call == StoreCall::Full && reply.outcome.is_ok() && named.copied() == current;
+    let usable = is_same || (is_whole && news != TimelineNews::Former);
+    if !usable {
+        metrics::counter!("agatestair_serve_former_answers_total", "source" => "store")
+            .increment(1);
+        log_event!(shared.log, ANSWER_FORMER, "table" => table.label(), "named" => named,
+            "asked" => asked, "timeline" => current);
+    }
+    usable
+}
+
+async fn read(shared: &Shared, table: Table, call: StoreCall) -> Reply<Changes> {
     match call {
         StoreCall::Full => (shared.store.read)(table).await,
         StoreCall::Changes { after, wait } => (shared.store.follow)(table, after, wait).await,
@@ -129,17 +166,24 @@
 /// Waits until a call for a table is due and returns it.
 async fn due_call(shared: &Shared, table: Table, last_call: Instant) -> StoreCall {
     loop {
-        let (known, behind, mode, due) = shared.hub.ask(move |node, now| {
+        let (known, restart, behind, mode, due) = shared.hub.ask(move |node, now| {
             let mode = node.follow_mode(table, now);
             let cursor = node.cursor(table);
             (
                 cursor.known,
+                cursor.restart_due().map_or(Duration::ZERO, |due| due.since(now)),
                 cursor.behind().map(|since| now.since(since)),
                 mode,
                 node.endpoint_list.due(now),
             )
         });
-        let Some(after) = known else { return StoreCall::Full };
+        let Some(after) = known else {
+            if restart.is_zero() {
+                return StoreCall::Full;
+            }
+            sleep(restart.min(CHECK_INTERVAL)).await;
+            continue;
+        };
         if behind.is_some_and(|behind| behind >= CATCH_UP_DELAY) {
             return catch_up(shared, table).unwrap_or(StoreCall::Full);
         }
@@ -194,6 +238,9 @@
     for name in shared.hub.ask(Node::tick) {
         log_event!(shared.log, ENDPOINT_REMOVED, "endpoint" => &*name, "cause" => "lapsed");
     }
+    for name in shared.hub.ask(Node::release_endpoints) {
+        log_event!(shared.log, ENDPOINT_CHANGED, "endpoint" => &*name, "source" => "held entry");
+    }
 }
 
 /// Duration of a long poll, short enough to detect a dead connection before all bounds must hold
@@ -238,13 +285,19 @@
 
 /// Applies a response of the store, and queues its changes for other instances.
 fn handle_response(shared: &Shared, table: Table, changes: Changes, full: bool) {
-    let (known, update) = shared.hub.ask({
+    let (known, restarted, timeline, update) = shared.hub.ask({
         let changes = changes.clone();
         move |node, _| {
+            let timeline = node.timeline.current();
             let cursor = node.cursor(table);
-            (cursor.known, cursor.note_response(&changes, full))
+            let restarted = cursor.restart_due().is_some();
+            (cursor.known, restarted, timeline, cursor.note_response(&changes, full))
         }
     });
+    if restarted {
+        log_event!(shared.log, TABLE_READ_AGAIN, "table" => table.label(), "timeline" => timeline,
+            "rows" => changes.rows.len(), "version" => changes.version);
+    }
     // The configuration is a single row, so a full read of it contains all changes since version 0.
     let update = update.or_else(|| {
         let rows = changes.rows.clone();
@@ -254,22 +307,39 @@
     // Rows of instances are read once and not sent to other instances.
     let bulletin_table = BulletinTable::try_from(table).ok();
     if let Some((table, update)) = bulletin_table.zip(update) {
-        shared.table_updates.push(BulletinUpdate::new(table, update));
+        let update = BulletinUpdate::new(table, update);
+        shared.table_updates.push(TimedUpdate { timeline, update });
     }
     let mut rows = changes.rows;
     // Some rows may have arrived in bulletins while the call was pending.
     rows.retain(|row| full || known.is_none_or(|known| row.version > known));
-    apply(shared, table, rows, full, "store");
+    let extent = match (full, restarted) {
+        (false, _) => Extent::Changes,
+        (true, false) => Extent::Whole,
+        (true, true) => Extent::Restored,
+    };
+    apply(shared, table, rows, extent, "store");
 }
 
-/// Applies rows of a table; `full` is set if these are all rows of the table.
-pub fn apply(shared: &Shared, table: Table, rows: Vec<Row>, full: bool, source: &'static str) {
+/// What rows of a table are.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Extent {
+    /// Changes.
+    Changes,
+    /// All rows.
+    Whole,
+    /// All rows in the first reading after a restore, which may be older than known ones.
+    Restored,
+}
+
+/// Applies rows of a table.
+pub fn apply(shared: &Shared, table: Table, rows: Vec<Row>, extent: Extent, source: &'static str) {
     let was_ready = shared.hub.ask(|node, _| node.is_ready());
     match table {
         Table::Configuration => {
             rows.into_iter().for_each(|row| apply_configuration(shared, row, source));
         }
-        Table::Endpoints => apply_endpoints(shared, rows, full, source),
+        Table::Endpoints => apply_endpoints(shared, rows, extent, source),
         Table::Instances => {}
     }
     if !was_ready && shared.hub.ask(|node, _| node.is_ready()) {
@@ -307,15 +377,15 @@
     }
 }
 
-fn apply_endpoints(shared: &Shared, rows: Vec<Row>, full: bool, source: &str) {
+fn apply_endpoints(shared: &Shared, rows: Vec<Row>, extent: Extent, source: &str) {
     let names: Vec<Arc<str>> = rows.iter().map(|row| row.key.clone()).collect();
     for row in rows {
         match row.value {
-            Some(value) => note_endpoint(shared, &row.key, &value, source),
+            Some(value) => note_endpoint(shared, &row.key, row.version, &value, extent, source),
             None => drop_endpoint(shared, &row.key),
         }
     }
-    if full {
+    if extent != Extent::Changes {
         let gone = shared.hub.ask(move |node, now| {
             node.endpoint_list.known = true;
             node.cursor(Table::Endpoints).retain_malformed(&names);
@@ -326,14 +396,35 @@
     }
 }
 
-fn note_endpoint(shared: &Shared, name: &Arc<str>, value: &[u8], source: &str) {
+fn note_endpoint(
+    shared: &Shared,
+    name: &Arc<str>,
+    version: u64,
+    value: &[u8],
+    extent: Extent,
+    source: &str,
+) {
     match (shared.wire.read_endpoint)(name, value) {
         Ok(facts) => {
             let noted = facts.clone();
-            shared.hub.ask(move |node, _| {
+            let outcome = shared.hub.ask(move |node, now| {
                 node.cursor(Table::Endpoints).note_parsed(&noted.name);
-                node.note_endpoint(noted);
+                match extent {
+                    Extent::Restored => node.note_restored_endpoint(noted, version, now),
+                    Extent::Whole if node.endpoint_list.is_held(&noted.name, version) => {
+                        Restored::Held
+                    }
+                    Extent::Changes | Extent::Whole => {
+                        node.note_endpoint(noted);
+                        Restored::Used
+                    }
+                }
             });
+            if outcome != Restored::Used {
+                log_event!(shared.log, ENTRY_HELD, "endpoint" => &**name, "row" => version,
+                    "born" => facts.born, "known" => format!("{outcome:?}"));
+                return;
+            }
             log_event!(shared.log, ENDPOINT_CHANGED, "endpoint" => &**name,
                 "service" => &*facts.service, "leaving" => facts.leaving,
                 "stage" => format!("{:?}", facts.stage), "address" => facts.address.to_string(),
--- a/crates/serve/tests/components.rs
+++ b/crates/serve/tests/components.rs
@@ -722,6 +722,7 @@
         weight: 500,
         answered_ms: 12,
         returned_ms: Some(900),
+        timeline: Some(4),
         tables: vec![TableState { table: BulletinTable::Endpoints, tip: 9, base: 9, known: 12 }],
         news: Some(news),
     }
