An instance writes its row again if a restore of the store has lost it

Cause: the row is written once, at the start.

Change: when a new timeline begins, each instance reads the table of instances, spread like the other readings, and writes its row if it is missing (event 5054).

--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -148,6 +148,9 @@
 /// A response that the store sent before it was restored is not used.
 pub const ANSWER_FORMER: Event =
     Event { number: 5053, level: Level::Info, text: "response from before the restore dropped" };
+/// A restore of the store has lost this instance's row, which is written again.
+pub const ROW_LOST: Event =
+    Event { number: 5054, level: Level::Warning, text: "own row lost by a restore" };
 /// The store names a timeline that cannot be parsed. Only the first one is logged.
 pub const TIMELINE_MALFORMED: Event =
     Event { number: 5055, level: Level::Warning, text: "malformed timeline of the store" };
@@ -203,5 +206,6 @@
     TABLE_READ_AGAIN,
     ENTRY_HELD,
     ANSWER_FORMER,
+    ROW_LOST,
     TIMELINE_MALFORMED,
 ];
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -25,7 +25,9 @@
 use crate::cache_query::query_caches;
 use crate::crash::log_changes;
 use crate::digests::send_digests;
-use crate::events::{MEMBER_CHANGED, ROW_MALFORMED, ROW_WRITE_FAILED, STARTED, TASK_FAILED};
+use crate::events::{
+    MEMBER_CHANGED, ROW_LOST, ROW_MALFORMED, ROW_WRITE_FAILED, STARTED, TASK_FAILED,
+};
 use crate::hub::Hub;
 use crate::listen::listen;
 use crate::members::Member;
@@ -220,7 +222,7 @@
     let member = own.clone();
     supervise(&shared, "members", move |shared| {
         let (leaving, joining) =
-            (shared.leaving.clone(), join(shared, member.clone(), hellos.clone()));
+            (shared.leaving.clone(), keep_row(shared, member.clone(), hellos.clone()));
         async move {
             leaving.run_until_cancelled(joining).await;
         }
@@ -283,6 +285,34 @@
     }
 }
 
+/// Joins the other instances, and writes the own row again whenever a restore of the store has lost
+/// it.
+async fn keep_row(shared: Rc<Shared>, own: Member, socket: Rc<UdpSocket>) {
+    let asked = shared.timeline();
+    join(shared.clone(), own.clone(), socket).await;
+    let mut known = asked.or(shared.timeline());
+    loop {
+        shared.until_restored(known).await;
+        known = shared.timeline();
+        sleep(shared.hub.ask(|node, now| node.restart_delay(now))).await;
+        let mut pause = ROW_PAUSE;
+        while let Err(error) = check_row(&shared, &own).await {
+            log_event!(shared.log, ROW_WRITE_FAILED, "error" => error.to_string());
+            sleep(pause).await;
+            pause = (pause * 2).min(MAX_ROW_PAUSE);
+        }
+    }
+}
+
+/// Writes the own row if the store does not have it.
+async fn check_row(shared: &Shared, own: &Member) -> Result<(), StoreError> {
+    if read_members(shared, own).await? {
+        return Ok(());
+    }
+    log_event!(shared.log, ROW_LOST, "timeline" => shared.timeline());
+    register(shared, own).await
+}
+
 /// Writes this instance's row to the store, reads the rows of the others and sends them hellos.
 async fn join(shared: Rc<Shared>, own: Member, socket: Rc<UdpSocket>) {
     let mut pause = ROW_PAUSE;
