--- a/crates/serve/src/timeline.rs
+++ b/crates/serve/src/timeline.rs
@@ -72,6 +72,14 @@
         }
     }
 
+    /// Whether the versions in a response that names the timeline `named` belong to the one that is
+    /// followed. The call was made in the timeline `asked`, which matters unless the response is a
+    /// `whole` table.
+    pub fn admits(&self, asked: Option<u64>, named: Option<u64>, whole: bool) -> bool {
+        let asked = asked == self.current;
+        named.map_or(asked, |named| Some(named) == self.current && (asked || whole))
+    }
+
     fn compare(&self, named: Option<u64>) -> TimelineNews {
         match (named, self.current) {
             (Some(named), Some(current)) if named < current => TimelineNews::Former,
--- a/crates/serve/src/watch.rs
+++ b/crates/serve/src/watch.rs
@@ -19,7 +19,6 @@
 use crate::node::{FollowMode, Node};
 use crate::shared::Shared;
 use crate::store::{Changes, Reply, Row, RowKey, StoreError, Table};
-use crate::timeline::TimelineNews;
 use crate::watchers::probe_pause;
 use crate::wire::WireError;
 
@@ -133,7 +132,7 @@
 }
 
 /// Records the timeline of a response, and returns whether its versions belong to the one that is
-/// followed now. A call after a version must have been made in it, too.
+/// followed now.
 fn is_usable(
     shared: &Shared,
     table: Table,
@@ -141,12 +140,12 @@
     asked: Option<u64>,
     reply: &Reply<Changes>,
 ) -> bool {
-    let news = shared.note_timeline(reply);
-    let (named, current) =
-        (reply.timeline.as_ref().and_then(|it| it.as_ref().ok()), shared.timeline());
-    let is_same = news != TimelineNews::Former && asked == current;
-    let is_whole = call == StoreCall::Full && reply.outcome.is_ok() && named.copied() == current;
-    let usable = is_same || (is_whole && news != TimelineNews::Former);
+    shared.note_timeline(reply);
+    let named = reply.timeline.as_ref().and_then(|named| named.as_ref().ok()).copied();
+    let whole = call == StoreCall::Full && reply.outcome.is_ok();
+    let (usable, current) = shared
+        .hub
+        .ask(move |node, _| (node.timeline.admits(asked, named, whole), node.timeline.current()));
     if !usable {
         metrics::counter!("agatestair_serve_former_answers_total", "source" => "store")
             .increment(1);
