Cut heads, held entries: tables of cases; calls are not repeated when the store first names its timeline

Found in review: the first response that names a timeline ended the pending call for the other table, one more call an instance and start. Until_restored waits for a later timeline than the first one now. Event 5051 says which configuration is in force.

Tests: an_entry_of_a_restored_store_does_not_open_an_endpoint_that_left and a_held_entry_ends_with_its_row, six cases and the lapse.

--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -288,10 +288,10 @@
 /// Joins the other instances, and writes the own row again whenever a restore of the store has lost
 /// it.
 async fn keep_row(shared: Rc<Shared>, own: Member, socket: Rc<UdpSocket>) {
-    let asked = shared.timeline();
+    let mut known = shared.timeline();
     join(shared.clone(), own.clone(), socket).await;
-    let mut known = asked.or(shared.timeline());
     loop {
+        known = known.or(shared.timeline());
         shared.until_restored(known).await;
         known = shared.timeline();
         sleep(shared.hub.ask(|node, now| node.restart_delay(now))).await;
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -200,13 +200,16 @@
         self.restored.notify_waiters();
     }
 
-    /// Waits until the store's timeline is another one than `known`.
-    pub async fn until_restored(&self, known: Option<u64>) {
+    /// Waits until the store's timeline is another one than `known`, or than the first one that it
+    /// names.
+    pub async fn until_restored(&self, mut known: Option<u64>) {
         loop {
             let restored = self.restored.notified();
-            if self.timeline() != known {
+            let current = self.timeline();
+            if known.is_some() && current != known {
                 return;
             }
+            known = current;
             restored.await;
         }
     }
--- a/crates/serve/src/watch.rs
+++ b/crates/serve/src/watch.rs
@@ -294,8 +294,9 @@
         }
     });
     if restarted {
+        let in_force = shared.hub.ask(|node, _| node.version());
         log_event!(shared.log, TABLE_READ_AGAIN, "table" => table.label(), "timeline" => timeline,
-            "rows" => changes.rows.len(), "version" => changes.version);
+            "rows" => changes.rows.len(), "version" => changes.version, "in_force" => in_force);
     }
     // The configuration is a single row, so a full read of it contains all changes since version 0.
     let update = update.or_else(|| {
--- a/crates/serve/tests/watch.rs
+++ b/crates/serve/tests/watch.rs
@@ -6,7 +6,7 @@
 
 use agatestair_policy::Moment;
 use agatestair_policy::assign::name_hash;
-use agatestair_policy::board::{Board, BoardSettings};
+use agatestair_policy::board::{Board, BoardSettings, EndpointFacts};
 use agatestair_serve::{Changes, Cursor, EndpointList, Pacer, Rank, Row, TableUpdate, Watchers};
 use googletest::prelude::*;
 
@@ -511,3 +511,105 @@
         expect_that!(at.since(start), le(limit + STEP), "{}: all are sent in time", case.name);
     }
 }
+
+/// What is known of an endpoint before a restore, the state that the restored store lists, and
+/// whether the endpoint is open for work: after the reading, after 4.9 s and after 5 s.
+struct HeldCase {
+    name: &'static str,
+    left: bool,
+    known_leaving: bool,
+    listed_leaving: bool,
+    born: u64,
+    open: [bool; 3],
+}
+
+const HELD: [HeldCase; 6] = [
+    HeldCase {
+        name: "as before",
+        left: false,
+        known_leaving: false,
+        listed_leaving: false,
+        born: 1,
+        open: [true; 3],
+    },
+    HeldCase {
+        name: "drains, the copy does not know it",
+        left: false,
+        known_leaving: true,
+        listed_leaving: false,
+        born: 1,
+        open: [false; 3],
+    },
+    HeldCase {
+        name: "drains, as the copy says",
+        left: false,
+        known_leaving: true,
+        listed_leaving: true,
+        born: 1,
+        open: [false; 3],
+    },
+    HeldCase {
+        name: "drained, started again",
+        left: false,
+        known_leaving: true,
+        listed_leaving: false,
+        born: 2,
+        open: [true; 3],
+    },
+    HeldCase {
+        name: "left",
+        left: true,
+        known_leaving: false,
+        listed_leaving: false,
+        born: 1,
+        open: [false, false, true],
+    },
+    HeldCase {
+        name: "left, started again",
+        left: true,
+        known_leaving: false,
+        listed_leaving: false,
+        born: 2,
+        open: [true; 3],
+    },
+];
+
+#[gtest]
+fn an_entry_of_a_restored_store_does_not_open_an_endpoint_that_left() {
+    for case in &HELD {
+        let mut board = Board::new(BoardSettings::default());
+        let mut endpoint_list = EndpointList::default();
+        let now = Moment(20_000_000);
+        endpoint_list.upsert(&mut board, endpoint_facts("one", case.known_leaving));
+        if case.left {
+            endpoint_list.remove(&mut board, "one", now);
+        }
+        endpoint_list.note_restored(now);
+        let listed = endpoint_facts("one", case.listed_leaving);
+        let listed = EndpointFacts { born: case.born, ..listed };
+        endpoint_list.upsert_restored(&mut board, listed, 7, now);
+        let mut open = Vec::new();
+        for ms in [0, 4900, 5000] {
+            endpoint_list.release(&mut board, now + Duration::from_millis(ms));
+            open.push(board.find("one").is_some_and(|key| board.is_open(key)));
+        }
+        expect_that!(open, eq(&case.open.to_vec()), "{}", case.name);
+    }
+}
+
+#[gtest]
+fn a_held_entry_ends_with_its_row() {
+    let mut board = Board::new(BoardSettings::default());
+    let mut endpoint_list = EndpointList::default();
+    let now = Moment(20_000_000);
+    endpoint_list.upsert(&mut board, endpoint_facts("one", false));
+    endpoint_list.remove(&mut board, "one", now);
+    endpoint_list.upsert_restored(&mut board, endpoint_facts("one", false), 7, now);
+    // Another reading shows the same row, and one of a later version that counts.
+    expect_that!(endpoint_list.is_held("one", 7), eq(true));
+    expect_that!(endpoint_list.is_held("one", 9), eq(false));
+    endpoint_list.retain(&mut board, &[], now);
+    let later = now + Duration::from_secs(60);
+    expect_that!(endpoint_list.release(&mut board, later), is_empty());
+    expect_that!(board.find("one"), none());
+}
