--- a/crates/serve/src/timeline.rs
+++ b/crates/serve/src/timeline.rs
@@ -40,7 +40,7 @@
 
     /// Records the timeline that a response of the store names.
     ///
-    /// A store that keeps naming a lower one was replaced, and is followed after [`LOWER_TIME`].
+    /// A store that keeps naming a lower one was replaced, and is followed after `LOWER_TIME`.
     pub fn note_response(&mut self, named: Option<u64>, now: Moment) -> TimelineNews {
         let news = self.compare(named);
         match news {
