Log the bound that an instance which is shutting down took an attempt with

Event 5020 had the modelled end of a run and the time until the exit, but not the bound that decided whether the request was taken. No decision is changed.

--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -243,6 +243,7 @@
             "reads" => placement.prefill_only, "busy" => placement.busy,
             "expected_ms" => placement.expected.as_millis() as u64,
             "end_ms" => placement.duration.map(|duration| duration.as_millis() as u64),
+            "bound_ms" => placement.bound.map(|bound| bound.as_millis() as u64),
             "stop_ms" => self.shared.shutdown.left().map(|left| left.as_millis() as u64),
             "version" => self.version,
             "unread" => placement.load.unread, "trial" => placement.probe,
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -103,6 +103,8 @@
     pub nominal: Duration,
     /// Expected time to the end of the run, if there is a model of it.
     pub duration: Option<Duration>,
+    /// Time that the attempt must have until the process exits, if the instance is shutting down.
+    pub bound: Option<Duration>,
     /// Whether the endpoint only prefills the prompt.
     pub prefill_only: bool,
     /// Address of the engine from which the endpoint should fetch the KV cache of prompt parts.
@@ -417,11 +419,11 @@
                 self.board.note_limited(&request, now);
             }
         })?;
-        self.check_shutdown(&request, choice.duration, now)?;
+        let bound = self.check_shutdown(&request, choice.duration, now)?;
         if request.prompt >= self.board.settings.costs.min_tracked {
             self.note_prompt(choice.key, &request.parts, now);
         }
-        Ok(self.start_attempt(choice, share, now))
+        Ok(Placement { bound, ..self.start_attempt(choice, share, now) })
     }
 
     /// Chooses the engine that gets a copy of the KV cache of a run at another engine.
@@ -512,6 +514,7 @@
             expected: choice.expected,
             nominal: choice.nominal,
             duration: choice.duration,
+            bound: None,
             prefill_only: choice.prefill_only,
             fetch: choice
                 .fetch
--- a/crates/serve/src/node/stopping.rs
+++ b/crates/serve/src/node/stopping.rs
@@ -62,25 +62,29 @@
         self.begun.remove(key);
     }
 
-    /// Denies an attempt that may not end before the process exits; `modelled` is its duration as
-    /// the model of the engines gives it. On routes without experience a request may last until
-    /// its deadline.
+    /// Bound on the time that an attempt needs, for an instance that is shutting down; `modelled` is
+    /// its duration as the model of the engines gives it. On routes without experience a request may
+    /// last until its deadline.
+    ///
+    /// # Errors
+    ///
+    /// [`Denial`] if the attempt may not end before the process exits.
     pub(super) fn check_shutdown(
         &self,
         request: &PlacementRequest,
         modelled: Option<Duration>,
         now: Moment,
-    ) -> Result<(), Denial> {
-        let Some(end) = self.stops_at else { return Ok(()) };
+    ) -> Result<Option<Duration>, Denial> {
+        let Some(end) = self.stops_at else { return Ok(None) };
         let key = (request.route.clone(), request.service.clone());
         let open = self.begun.values().filter(|(other, _)| *other == key);
         let open = open.map(|(_, begun)| now.since(*begun)).max().unwrap_or_default();
         let known = self.durations.get(&key);
         let bound = known.and_then(|known| known.bound(modelled, open, now));
-        let left = bound
+        let bound = bound
             .map_or(request.left, |bound| bound.saturating_sub(request.elapsed).min(request.left));
-        if now + left + END_MARGIN <= end {
-            return Ok(());
+        if now + bound + END_MARGIN <= end {
+            return Ok(Some(bound));
         }
         let retry_after =
             if self.others_ready(now) { OTHERS_RETRY_AFTER } else { DEFAULT_RETRY_AFTER };
