A stopping instance takes new requests only with time for a silent endpoint

What callers saw: requests sent on kept connections 6.0 s after SIGTERM (grace period 8 s, route known to take 0.1 s) whose endpoint was silent for 1.7 s were taken, run once and ended by the exit: 502, or a cut stream.

Cause: the bound on a request's duration comes from requests whose endpoints answered; a sound endpoint may stand still for a second or two, and nothing in the bound allows for that.

Now a new request must have 2 s (a quarter of shorter grace periods) more than its bound; what continues accepted work must not. A refusal costs little here: it is sent at once, says that nothing was run, and other instances are ready.

--- a/crates/policy/src/board/request.rs
+++ b/crates/policy/src/board/request.rs
@@ -37,6 +37,8 @@
     pub left: Duration,
     /// Time since its first attempt was placed, if this attempt continues that work.
     pub elapsed: Duration,
+    /// Whether an attempt of the request was placed before.
+    pub begun: bool,
     /// Time within which the response must start; an attempt that would start later is refused.
     pub limit: Duration,
     /// Time within which the response should start.
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -123,6 +123,7 @@
             output,
             max_output: prompt.output,
             left: self.remaining(),
+            begun: self.begun.is_some(),
             limit: self.remaining(),
             objective: self.remaining(),
             max_wait: self.remaining(),
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -196,6 +196,8 @@
     sent_parts: VecDeque<SentPart>,
     /// When the process exits, if this instance is shutting down.
     stops_at: Option<Moment>,
+    /// Silence of an endpoint that requests taken during the shutdown have time for.
+    silence: Duration,
     /// Requests with a placed attempt, and when the first one was placed.
     begun: SlotMap<BegunKey, (RouteService, Moment)>,
     /// Durations of requests, by route and service.
@@ -237,6 +239,7 @@
             standing_from: Moment(0),
             sent_parts: VecDeque::new(),
             stops_at: None,
+            silence: Duration::ZERO,
             begun: SlotMap::with_key(),
             durations: HashMap::new(),
             settings,
--- a/crates/serve/src/node/stopping.rs
+++ b/crates/serve/src/node/stopping.rs
@@ -23,9 +23,11 @@
 }
 
 impl Node {
-    /// Starts the shutdown; the process exits at `end`, whether or not requests are open.
-    pub fn begin_shutdown(&mut self, end: Moment) {
+    /// Starts the shutdown; the process exits at `end`, whether or not requests are open. Requests that
+    /// are taken until then have time for a silence of their endpoint.
+    pub fn begin_shutdown(&mut self, end: Moment, silence: Duration) {
         self.stops_at = Some(end);
+        self.silence = silence;
     }
 
     /// Whether this instance is shutting down.
@@ -68,7 +70,8 @@
     ///
     /// # Errors
     ///
-    /// [`Denial`] if the attempt may not end before the process exits.
+    /// [`Denial`] if the attempt may not end before the process exits, or, for a new request, if it
+    /// may not once an endpoint falls silent.
     pub(super) fn check_shutdown(
         &self,
         request: &PlacementRequest,
@@ -81,8 +84,10 @@
         let open = open.map(|(_, begun)| now.since(*begun)).max().unwrap_or_default();
         let known = self.durations.get(&key);
         let bound = known.and_then(|known| known.bound(modelled, open, now));
-        let bound = bound
-            .map_or(request.left, |bound| bound.saturating_sub(request.elapsed).min(request.left));
+        let silence = if request.begun { Duration::ZERO } else { self.silence };
+        let bound = bound.map_or(request.left, |bound| {
+            (bound.saturating_sub(request.elapsed) + silence).min(request.left)
+        });
         if now + bound + END_MARGIN <= end {
             return Ok(Some(bound));
         }
--- a/crates/serve/src/shutdown.rs
+++ b/crates/serve/src/shutdown.rs
@@ -27,6 +27,12 @@
 /// Largest part of the grace period that each of these margins takes.
 const MARGIN_DIVISOR: u32 = 5;
 
+/// Longest silence of a sound endpoint that a new request has time for.
+const SILENCE: Duration = Duration::from_secs(2);
+
+/// Largest part of the grace period that is kept for such a silence.
+const SILENCE_DIVISOR: u32 = 4;
+
 /// Longest grace period.
 const MAX_GRACE: Duration = Duration::from_secs(24 * 3600);
 
@@ -106,7 +112,8 @@
     let working = left - ANSWER_MARGIN.min(grace / MARGIN_DIVISOR);
     let answers = begun + working;
     shared.shutdown.period.set(Some(GracePeriod { begun, end: answers }));
-    shared.hub.ask(move |node, now| node.begin_shutdown(now + working));
+    let silence = SILENCE.min(grace / SILENCE_DIVISOR);
+    shared.hub.ask(move |node, now| node.begin_shutdown(now + working, silence));
     shared.leaving.cancel();
     log_event!(shared.log, STOPPING, "open" => shared.open.len(),
         "grace_ms" => grace.as_millis() as u64);
