--- /dev/null
+++ b/crates/serve/src/awaited.rs
@@ -0,0 +1,184 @@
+//! Attempts of one request whose responses are awaited.
+//!
+//! A sound endpoint may fall silent and go on. An attempt that stays silent is therefore kept while
+//! the request is tried elsewhere, and given up only once another endpoint has answered.
+
+use std::future::{pending, poll_fn};
+use std::task::Poll;
+use std::time::Duration;
+
+use agatestair_policy::board::FailureKind;
+use agatestair_runtime::log_event;
+use tokio::time::{Instant, sleep_until};
+
+use crate::attempt_guard::AttemptGuard;
+use crate::call::{Call, Sending};
+use crate::events::ENDPOINT_RESUMED;
+use crate::node::Search;
+use crate::reach::until_unreachable;
+use crate::send::SendOutcome;
+
+/// Multiple of the expected time after which an attempt without a response counts as silent.
+pub const TIMEOUT_FACTOR: f64 = 3.0;
+
+/// Fraction of the remaining time after which an attempt counts as silent at the latest, so that
+/// another one can still finish before the deadline.
+pub const ATTEMPT_SHARE: f64 = 0.5;
+
+/// Multiple of the expected time without a response after which an engine's reachability is probed.
+const PROBE_FACTOR: f64 = 1.5;
+
+/// Shortest time without a response before a probe.
+const MIN_PROBE_DELAY: Duration = Duration::from_millis(250);
+
+/// An attempt whose response is awaited.
+pub struct Attempt<T> {
+    /// Counts the attempt at its endpoint.
+    pub guard: AttemptGuard,
+    /// How its endpoint was chosen.
+    pub search: Search,
+    /// What must live as long as the attempt.
+    pub held: T,
+    sending: Sending,
+    /// When the attempt counts as silent.
+    limit: Instant,
+    silent: bool,
+}
+
+impl<T> Attempt<T> {
+    /// An attempt that has just begun.
+    pub fn new(
+        call: &Call,
+        search: Search,
+        guard: AttemptGuard,
+        sending: Sending,
+        held: T,
+    ) -> Self {
+        let limit = Instant::now() + response_limit(call, &guard);
+        Self { guard, search, held, sending, limit, silent: false }
+    }
+}
+
+/// What becomes of the attempts of a request.
+pub enum News<T> {
+    /// An attempt has its outcome.
+    Sent(Box<Attempt<T>>, SendOutcome),
+    /// The latest attempt is silent; the request may be tried elsewhere.
+    Silent,
+    /// The request's deadline has passed.
+    TimedOut,
+}
+
+/// The attempts of a request whose responses are awaited, the latest one last.
+pub struct Awaited<T> {
+    attempts: Vec<Attempt<T>>,
+}
+
+impl<T> Default for Awaited<T> {
+    fn default() -> Self {
+        Self { attempts: Vec::new() }
+    }
+}
+
+impl<T> Awaited<T> {
+    /// Adds the latest attempt, if one could begin.
+    pub fn extend(&mut self, attempt: Option<Attempt<T>>) {
+        self.attempts.extend(attempt);
+    }
+
+    /// Whether no attempt is left.
+    pub fn is_empty(&self) -> bool {
+        self.attempts.is_empty()
+    }
+
+    /// Whether an attempt is awaited that is not silent.
+    pub fn is_promising(&self) -> bool {
+        self.attempts.iter().any(|attempt| !attempt.silent)
+    }
+
+    /// Waits for the next outcome, or until the latest attempt is silent although the request may run
+    /// elsewhere.
+    pub async fn next(&mut self, call: &mut Call) -> News<T> {
+        let deadline = call.deadline;
+        let (shared, may_move) = (call.shared.clone(), call.may_move());
+        let latest = self.attempts.last().filter(|attempt| !attempt.silent && may_move);
+        let latest = latest.map(|attempt| {
+            (attempt.limit, attempt.guard.placement.clone(), probe_delay(&attempt.guard))
+        });
+        let silent = async {
+            let Some((limit, placement, delay)) = latest else { return pending().await };
+            tokio::select! {
+                () = sleep_until(limit) => "no answer in time",
+                () = until_unreachable(&shared, &placement, delay) => {
+                    "the endpoint cannot be reached"
+                }
+            }
+        };
+        let attempts = &mut self.attempts;
+        let outcome = poll_fn(|context| {
+            for (index, attempt) in attempts.iter_mut().enumerate() {
+                if let Poll::Ready(sent) = attempt.sending.outcome.as_mut().poll(context) {
+                    return Poll::Ready((index, sent));
+                }
+            }
+            Poll::Pending
+        });
+        let silence = tokio::select! {
+            biased;
+            (index, sent) = outcome => {
+                let attempt = self.attempts.remove(index);
+                note_outcome(call, &attempt, &sent);
+                return News::Sent(Box::new(attempt), sent);
+            }
+            () = sleep_until(deadline) => return News::TimedOut,
+            cause = silent => cause,
+        };
+        let latest = self.attempts.last_mut().expect("only an attempt that is awaited is silent");
+        latest.silent = true;
+        call.note_silent(&latest.guard, silence);
+        News::Silent
+    }
+
+    /// Gives up the attempts that are left after another one has succeeded.
+    pub fn give_up(&mut self, call: &mut Call, cause: &str) {
+        for attempt in self.attempts.drain(..) {
+            if attempt.silent {
+                call.note_failed(&attempt.guard, FailureKind::Broken, cause);
+            } else {
+                call.runs += 1;
+            }
+        }
+    }
+
+    /// Gives up the attempts that are left after the request's deadline.
+    pub fn time_out(&mut self, call: &mut Call) {
+        for attempt in self.attempts.drain(..) {
+            call.runs += u32::from(!attempt.silent);
+            call.note_failed(&attempt.guard, FailureKind::Broken, "no answer in time");
+        }
+    }
+}
+
+/// Takes the outcome of an attempt into account.
+fn note_outcome<T>(call: &mut Call, attempt: &Attempt<T>, sent: &SendOutcome) {
+    call.backup = attempt.sending.backup;
+    if attempt.silent {
+        // It was counted as a run when it fell silent.
+        call.runs -= 1;
+        log_event!(call.shared.log, ENDPOINT_RESUMED, "request" => call.forwarded.id.as_deref(),
+            "endpoint" => &*attempt.guard.placement.name,
+            "ms" => attempt.guard.elapsed().as_millis() as u64);
+    }
+    call.note_sent(sent);
+}
+
+/// Time within which the response head of an attempt must arrive if another attempt may follow.
+fn response_limit(call: &Call, guard: &AttemptGuard) -> Duration {
+    let usual = guard.placement.expected.mul_f64(TIMEOUT_FACTOR).max(call.route.objective);
+    usual.min(call.remaining().mul_f64(ATTEMPT_SHARE))
+}
+
+/// Time without a response after which an engine's reachability is probed.
+pub fn probe_delay(guard: &AttemptGuard) -> Duration {
+    guard.placement.expected.mul_f64(PROBE_FACTOR).max(MIN_PROBE_DELAY)
+}
