A silent attempt is kept until another endpoint has answered

What callers saw: a resumable stream whose engine was silent for 1.2 or 1.4 s was cut after 1.0 s with nothing, or waited out its time limit, if the other engine refused or hung, while a stream that may not be resumed was whole. Before its head: 502, or 504 although the engine had answered in time.

Cause: an attempt was given up at a guess at the time (four gaps, three times the expected time, a new connection that took 0.4 s) before it was known whether anybody else would take the request. The class: accepted work is thrown away at a guess.

Now silence only starts a search. Before the head (awaited.rs) the silent attempt is awaited together with the next ones, the first good response counts and ends the others; a server error is kept as the answer of last resort. In a stream (relay.rs, take_over) the silent run is read on while another endpoint is searched for; if it yields a whole event first, it goes on, otherwise it is closed once the other one has answered. A silent endpoint is charged with a failure only then. Events 5056 and 5057 tell it.

--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -1,6 +1,7 @@
 //! State of one request in flight: placement, attempts so far, and retry decisions.
 
 use std::cell::Cell;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,11 +15,12 @@
 use crate::attempt_guard::AttemptGuard;
 use crate::configuration::{Route, Service};
 use crate::events::{
-    ATTEMPT_FAILED, ATTEMPT_WITHHELD, ENDPOINT_EJECTED, NOT_PLACED, PART_TRIED, PLACED,
+    ATTEMPT_FAILED, ATTEMPT_WITHHELD, ENDPOINT_EJECTED, ENDPOINT_SILENT, NOT_PLACED, PART_TRIED,
+    PLACED,
 };
 use crate::node::{Backup, BegunKey, Placement, Search};
 use crate::response::{DEFAULT_RETRY_AFTER, Failure, not_run, not_run_within};
-use crate::send::{ForwardedRequest, SendOutcome, send};
+use crate::send::{ForwardedRequest, SendOutcome, build_request, send};
 use crate::shared::Shared;
 use crate::wire::{CallFacts, Outbound, Phase};
 
@@ -83,6 +85,14 @@
     pub passed_on: Rc<Cell<bool>>,
 }
 
+/// A request on its way to an endpoint; dropping it closes the connection.
+pub struct Sending {
+    /// Completes with the response head or a failure.
+    pub outcome: Pin<Box<dyn Future<Output = SendOutcome>>>,
+    /// Engine that replicates the KV cache of the run.
+    pub backup: Option<Backup>,
+}
+
 /// Counts a request with a placed attempt until it is dropped.
 pub struct Begun {
     shared: Rc<Shared>,
@@ -253,7 +263,7 @@
             "left_ms" => self.remaining().as_millis() as u64, "sends" => self.sends);
     }
 
-    /// Sends the request to the endpoint selected by `guard`.
+    /// Sends the request to the endpoint selected by `guard` and waits for the response head.
     ///
     /// `resume` is the identifier of the last event that the caller has received.
     pub async fn send(
@@ -262,27 +272,48 @@
         phase: Phase<'_>,
         resume: Option<&str>,
     ) -> SendOutcome {
-        self.backup = self.place_backup(guard, phase);
+        let sending = self.begin_send(guard, phase, resume);
+        self.backup = sending.backup;
+        let sent = sending.outcome.await;
+        self.note_sent(&sent);
+        sent
+    }
+
+    /// Starts to send the request to the endpoint selected by `guard`; [`Call::note_sent`] takes the
+    /// outcome into account.
+    pub fn begin_send(
+        &mut self,
+        guard: &AttemptGuard,
+        phase: Phase<'_>,
+        resume: Option<&str>,
+    ) -> Sending {
+        let backup = self.place_backup(guard, phase);
         let outbound = Outbound {
             deadline: self.remaining(),
             endpoint: &guard.placement.name,
             rank: self.route.rank,
             phase,
             fetch: guard.placement.fetch,
-            backup: self.backup.map(|backup| backup.address),
+            backup: backup.map(|backup| backup.address),
             resume,
         };
         if !matches!(phase, Phase::Prefill) {
             self.passed_on.set(true);
         }
-        let sent = send(&self.shared, &guard.placement, &self.forwarded, &outbound).await;
+        let request = build_request(&self.shared, &self.forwarded, &outbound);
+        let (shared, id) = (self.shared.clone(), self.forwarded.id.clone());
+        let outcome = Box::pin(send(shared, guard.placement.clone(), id, request));
+        Sending { outcome, backup }
+    }
+
+    /// Counts a request that was sent, or that an endpoint has refused.
+    pub fn note_sent(&mut self, sent: &SendOutcome) {
         if !matches!(sent, SendOutcome::NotSent(_) | SendOutcome::Withheld(_)) {
             self.sends += 1;
         }
         if !matches!(sent, SendOutcome::Responded(_) | SendOutcome::Unknown(_)) && self.runs == 0 {
             self.passed_on.set(false);
         }
-        sent
     }
 
     /// Selects an engine to replicate the run's KV cache, for streams that cannot be run again.
@@ -305,6 +336,28 @@
         self.shared.hub.ask(move |node, now| node.note_duration(&route, &service, durations, now));
     }
 
+    /// Whether another run may follow the attempt in progress.
+    pub fn may_move(&self) -> bool {
+        self.route.kind.may_repeat() && self.runs + 1 < self.route.attempts
+    }
+
+    /// Records that an attempt is silent, which counts as a run while it is kept, and excludes its
+    /// endpoint from further attempts.
+    pub fn note_silent(&mut self, guard: &AttemptGuard, cause: &str) {
+        self.runs += 1;
+        self.log_silent(guard, cause, None);
+    }
+
+    /// Logs that an endpoint is silent, after the given number of events.
+    pub fn log_silent(&mut self, guard: &AttemptGuard, cause: &str, events: Option<u64>) {
+        self.tried.push(guard.placement.key);
+        metrics::counter!("agatestair_serve_silences_total").increment(1);
+        log_event!(self.shared.log, ENDPOINT_SILENT, "request" => self.forwarded.id.as_deref(),
+            "endpoint" => &*guard.placement.name, "cause" => cause, "events" => events,
+            "runs" => self.runs, "left_ms" => self.remaining().as_millis() as u64,
+            "ms" => guard.elapsed().as_millis() as u64);
+    }
+
     /// Whether the route's kind and its maximum number of attempts allow another run.
     pub fn may_repeat(&self) -> bool {
         self.route.kind.may_repeat() && self.runs < self.route.attempts
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -154,6 +154,12 @@
 /// The store names a timeline that cannot be parsed. Only the first one is logged.
 pub const TIMELINE_MALFORMED: Event =
     Event { number: 5055, level: Level::Warning, text: "malformed timeline of the store" };
+/// An endpoint does not answer a request, which is tried elsewhere meanwhile if it may be.
+pub const ENDPOINT_SILENT: Event =
+    Event { number: 5056, level: Level::Info, text: "endpoint silent" };
+/// An endpoint that was silent has answered after all.
+pub const ENDPOINT_RESUMED: Event =
+    Event { number: 5057, level: Level::Info, text: "silent endpoint went on" };
 /// All events of this crate.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -208,4 +214,6 @@
     ANSWER_FORMER,
     ROW_LOST,
     TIMELINE_MALFORMED,
+    ENDPOINT_SILENT,
+    ENDPOINT_RESUMED,
 ];
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt_guard::AttemptGuard;
+use crate::awaited::{ATTEMPT_SHARE, Attempt, Awaited, News, TIMEOUT_FACTOR, probe_delay};
 use crate::body::ResponseBody;
 use crate::call::{Call, after_failure};
 use crate::connection::request_once;
@@ -28,24 +29,10 @@
 /// Maximum size of the response to a prefill request, in bytes.
 const MAX_HANDLE_BYTES: usize = 64 * 1024;
 
-/// Multiple of the expected time after which a prefill, or a retryable attempt without a response
-/// head, is abandoned for another engine.
-const TIMEOUT_FACTOR: f64 = 3.0;
-
-/// Fraction of the remaining time that an attempt may use while a retry is possible, so that the
-/// retry can still finish before the deadline.
-const ATTEMPT_SHARE: f64 = 0.5;
-
 /// Multiple of the latency objective that a prefill may take at least before it is abandoned. The
 /// response misses its objective by then, and an engine that is only busy has usually finished.
 const PREFILL_FACTOR: f64 = 2.0;
 
-/// Multiple of the expected time without a response after which an engine's reachability is probed.
-const PROBE_FACTOR: f64 = 1.5;
-
-/// Shortest time without a response before a probe.
-const MIN_PROBE_DELAY: Duration = Duration::from_millis(250);
-
 /// Retry delay returned to the caller after a failed prefill.
 const PREFILL_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -101,109 +88,154 @@
     }
 }
 
+/// Progress of a request until an engine responds.
+struct Progress {
+    /// Whether the prompt may be prefilled on another engine.
+    split: bool,
+    /// A prefilled prompt that no attempt has used.
+    handle: Option<PromptHandle>,
+    /// Attempts in progress, each with the prefilled prompt that it uses.
+    awaited: Awaited<Option<PromptHandle>>,
+    /// A server error, which the caller receives if no better response follows.
+    error: Option<(AttemptGuard, Box<EndpointResponse>)>,
+}
+
+/// What follows the outcome of an attempt.
+enum Step {
+    /// Another attempt.
+    Again,
+    /// The attempts in progress go on.
+    Wait,
+    /// The response starts.
+    Respond(AttemptGuard, Box<EndpointResponse>),
+    /// The request has failed.
+    Fail(Failure),
+}
+
 /// Runs a request on model engines and streams the response.
 ///
 /// # Errors
 ///
 /// Returns a [`Failure`] if no response could be started.
 pub async fn generate(mut call: Call) -> Result<Response<ResponseBody>, Failure> {
-    let mut split = call.facts.prompt.is_some();
-    let mut handle: Option<PromptHandle> = None;
+    let mut progress = Progress {
+        split: call.facts.prompt.is_some(),
+        handle: None,
+        awaited: Awaited::default(),
+        error: None,
+    };
+    let (service, parts) = (call.service.name.clone(), call.shared_parts());
+    let quarantined = until_quarantined(call.shared.clone(), service, parts);
+    tokio::pin!(quarantined);
+    let mut step = Step::Again;
     loop {
-        let search = match &handle {
-            Some(handle) => Search::Decode(handle.source),
-            None => Search::Run { split },
-        };
-        let mut guard = call.place(search).map_err(|denial| call.denial_failure(&denial))?;
-        if guard.placement.prefill_only {
-            handle = prefill(&mut call, &mut guard).await?;
-            // After a failed prefill, the decode engine processes the prompt itself.
-            split = handle.is_some();
-            continue;
+        if matches!(step, Step::Again)
+            && let Err(failure) = begin(&mut call, &mut progress).await
+            && progress.awaited.is_empty()
+        {
+            step = Step::Fail(failure);
         }
-        match attempt(&mut call, &guard, handle.as_ref()).await? {
-            SendOutcome::Responded(response) => {
-                if let Some(handle) = &mut handle {
-                    handle.used = true;
-                }
-                if response.status.is_server_error() && call.route.kind.may_repeat() {
-                    call.runs += 1;
-                    call.note_failed(&guard, FailureKind::Failed, "the endpoint failed");
-                    if call.may_run_again() {
-                        continue;
-                    }
-                }
+        match step {
+            Step::Again | Step::Wait => {}
+            Step::Respond(guard, response) => {
+                progress.awaited.give_up(&mut call, "another endpoint has answered");
                 return start_stream(call, guard, *response).await;
             }
-            sent => {
-                // A refusing engine may have failed to fetch the prompt; the handle is spent then.
-                if !matches!(sent, SendOutcome::NotSent(_) | SendOutcome::Withheld(_)) {
-                    handle = None;
-                    split = false;
-                }
-                if matches!(sent, SendOutcome::Unknown(_)) {
-                    note_broken(&mut call, &guard, None).await;
-                }
-                if let Some(failure) = after_failure(&mut call, &guard, sent) {
-                    return Err(failure);
-                }
+            Step::Fail(failure) => {
+                let Some((guard, response)) = progress.error else { return Err(failure) };
+                return start_stream(call, guard, *response).await;
             }
         }
+        let trial = call.trial;
+        let news = tokio::select! {
+            news = progress.awaited.next(&mut call) => news,
+            () = &mut quarantined, if !trial => {
+                let cause = "a part of the prompt crashes endpoints";
+                return Err(Failure::MayHaveRun(cause.to_owned()));
+            }
+        };
+        step = note_news(&mut call, &mut progress, news).await;
     }
 }
 
-/// Time within which the response head of an attempt must arrive if another attempt may follow.
-pub fn response_limit(call: &Call, guard: &AttemptGuard) -> Duration {
-    let usual = guard.placement.expected.mul_f64(TIMEOUT_FACTOR).max(call.route.objective);
-    usual.min(call.remaining().mul_f64(ATTEMPT_SHARE))
-}
-
-/// Time without a response after which an engine's reachability is probed.
-fn probe_delay(guard: &AttemptGuard) -> Duration {
-    guard.placement.expected.mul_f64(PROBE_FACTOR).max(MIN_PROBE_DELAY)
-}
-
-fn unreachable_outcome() -> SendOutcome {
-    SendOutcome::Unknown("the endpoint cannot be reached".to_owned())
+/// Places the next attempt and sends the request, after a prefill on another engine if that helps.
+async fn begin(call: &mut Call, progress: &mut Progress) -> Result<(), Failure> {
+    loop {
+        let search = match &progress.handle {
+            Some(handle) => Search::Decode(handle.source),
+            None => Search::Run { split: progress.split },
+        };
+        let placed = call.place(search);
+        let mut guard = placed.map_err(|denial| call.denial_failure(&denial))?;
+        if guard.placement.prefill_only {
+            progress.handle = prefill(call, &mut guard).await?;
+            // After a failed prefill, the decode engine processes the prompt itself.
+            progress.split = progress.handle.is_some();
+            continue;
+        }
+        let handle = progress.handle.take();
+        let phase = match &handle {
+            Some(handle) => Phase::Decode { source: handle.address, handle: &handle.name },
+            None => Phase::Whole,
+        };
+        let sending = call.begin_send(&guard, phase, None);
+        let attempt = Attempt::new(call, search, guard, sending, handle);
+        progress.awaited.extend(Some(attempt));
+        return Ok(());
+    }
 }
 
-/// Sends the request to the engine that decodes and waits for the response head.
-async fn attempt(
+/// Decides what follows the outcome of an attempt, or its silence.
+async fn note_news(
     call: &mut Call,
-    guard: &AttemptGuard,
-    handle: Option<&PromptHandle>,
-) -> Result<SendOutcome, Failure> {
-    let phase = match handle {
-        Some(handle) => Phase::Decode { source: handle.address, handle: &handle.name },
-        None => Phase::Whole,
+    progress: &mut Progress,
+    news: News<Option<PromptHandle>>,
+) -> Step {
+    let (attempt, sent) = match news {
+        News::Silent => {
+            progress.split = false;
+            return if call.may_run_again() { Step::Again } else { Step::Wait };
+        }
+        News::TimedOut => {
+            call.note_duration();
+            progress.awaited.time_out(call);
+            return Step::Fail(Failure::TimedOut);
+        }
+        News::Sent(attempt, sent) => (attempt, sent),
     };
-    let deadline = call.deadline;
-    let retryable = call.route.kind.may_repeat() && call.runs + 1 < call.route.attempts;
-    let time_limit = response_limit(call, guard);
-    let cutoff = if retryable { (Instant::now() + time_limit).min(deadline) } else { deadline };
-    let (shared, probe_delay) = (call.shared.clone(), probe_delay(guard));
-    let quarantined =
-        until_quarantined(shared.clone(), call.service.name.clone(), call.shared_parts());
-    let trial = call.trial;
-    let sent = async {
-        tokio::select! {
-            sent = call.send(guard, phase, None) => Ok(sent),
-            () = quarantined, if !trial => {
-                Err(Failure::MayHaveRun("a part of the prompt crashes endpoints".to_owned()))
+    let Attempt { guard, held: mut handle, .. } = *attempt;
+    // A refusing engine may have failed to fetch the prompt; the handle is spent then.
+    if matches!(sent, SendOutcome::NotSent(_) | SendOutcome::Withheld(_)) {
+        progress.handle = handle.take();
+    } else {
+        progress.split = false;
+    }
+    match sent {
+        SendOutcome::Responded(response) => {
+            if let Some(handle) = &mut handle {
+                handle.used = true;
             }
-            () = until_unreachable(&shared, &guard.placement, probe_delay), if retryable => {
-                Ok(unreachable_outcome())
+            if !response.status.is_server_error() || !call.route.kind.may_repeat() {
+                return Step::Respond(guard, response);
             }
-        }
-    };
-    match timeout_at(cutoff, sent).await {
-        Ok(sent) => sent,
-        Err(_) if cutoff < deadline => Ok(SendOutcome::Unknown("no answer in time".to_owned())),
-        Err(_) => {
-            call.note_duration();
             call.runs += 1;
-            call.note_failed(guard, FailureKind::Broken, "no answer in time");
-            Err(Failure::TimedOut)
+            call.note_failed(&guard, FailureKind::Failed, "the endpoint failed");
+            let again = call.may_run_again();
+            if !again && progress.awaited.is_empty() {
+                return Step::Respond(guard, response);
+            }
+            progress.error = Some((guard, response));
+            if again { Step::Again } else { Step::Wait }
+        }
+        sent => {
+            if matches!(sent, SendOutcome::Unknown(_)) {
+                note_broken(call, &guard, None).await;
+            }
+            match after_failure(call, &guard, sent) {
+                None => Step::Again,
+                Some(failure) if progress.awaited.is_empty() => Step::Fail(failure),
+                Some(_) => Step::Wait,
+            }
         }
     }
 }
@@ -230,7 +262,7 @@
         tokio::select! {
             handle = attempt => handle,
             () = until_unreachable(&shared, &guard.placement, probe_delay) => {
-                Err(unreachable_outcome())
+                Err(SendOutcome::Unknown("the endpoint cannot be reached".to_owned()))
             }
         }
     };
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -7,6 +7,7 @@
 //! functions.
 
 mod attempt_guard;
+mod awaited;
 mod body;
 mod buffer_limit;
 mod bulletins;
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -1,5 +1,6 @@
 //! Relays event streams to callers and resumes broken ones at another endpoint.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use agatestair_policy::board::FailureKind;
@@ -13,22 +14,23 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt_guard::AttemptGuard;
+use crate::awaited::{Attempt, Awaited, News};
 use crate::body::{Chunk, QUEUED_CHUNKS, ResponseBody};
 use crate::buffer_limit::BufferGuard;
 use crate::call::Call;
 use crate::connection::Connection;
 use crate::crash::{cut_by_crash, note_broken, note_survived};
-use crate::events::{ATTEMPT_FAILED, RESUMED, STREAMED};
+use crate::events::{ATTEMPT_FAILED, ENDPOINT_RESUMED, RESUMED, STREAMED};
 use crate::framing::Framing;
-use crate::generate::response_limit;
 use crate::node::Search;
 use crate::reach::until_unreachable;
 use crate::send::{EndpointResponse, SendOutcome};
+use crate::shared::Shared;
 use crate::stream::EventSplitter;
 use crate::wire::{HandleName, Phase};
 
 /// Multiple of the route's longest gap between events after which a resumable stream counts as
-/// stalled and is moved to another endpoint.
+/// stalled and another endpoint is searched for.
 const STALL_FACTOR: u32 = 4;
 
 /// Media type of event streams.
@@ -47,6 +49,10 @@
     framing: Framing,
     /// Number of the stream's events before this run.
     begin: u64,
+    /// When its last event was passed on, or another endpoint was last searched for in vain.
+    progress: Instant,
+    /// Whether no other endpoint has taken the stream since its last event.
+    alone: bool,
 }
 
 impl Run {
@@ -61,6 +67,8 @@
             connection: response.connection,
             idle: response.facts.idle,
             begun: Instant::now(),
+            progress: Instant::now(),
+            alone: false,
         }
     }
 
@@ -94,22 +102,16 @@
     Some(media.trim().to_ascii_lowercase())
 }
 
-/// Why a stream could not be resumed.
-enum ResumeError {
-    /// The endpoint failed; another one may work.
-    Failed,
-    /// No endpoint can take the run, or the deadline has passed.
-    Exhausted,
-}
-
 /// Why a run ended early.
 enum Stop {
     /// The caller disconnected.
     CallerGone,
     /// The request's deadline has passed.
     TimedOut,
-    /// The stream failed, was invalid or stalled.
+    /// The stream failed or was invalid.
     Broken(String),
+    /// Nothing has come for a while; the run may go on.
+    Silent(&'static str),
 }
 
 impl Stop {
@@ -119,10 +121,41 @@
             Self::CallerGone => ("left", "the caller disconnected".to_owned()),
             Self::TimedOut => ("late", "the request timed out".to_owned()),
             Self::Broken(cause) => ("broken", cause),
+            Self::Silent(cause) => ("silent", cause.to_owned()),
         }
     }
 }
 
+/// Part of a stream that one read yields.
+enum Part {
+    /// Complete events.
+    Events(Bytes),
+    /// Bytes that complete no event.
+    Incomplete,
+    /// The end of the stream, with what follows the last event.
+    End(Bytes),
+}
+
+/// Where a stream continues at another endpoint.
+struct Position {
+    /// Identifier of the last complete event.
+    last: Option<String>,
+    /// Number of complete events.
+    events: u64,
+    /// Media type of the stream.
+    media: Option<String>,
+}
+
+/// What follows the silence of a run.
+enum Takeover {
+    /// The run goes on.
+    Same,
+    /// The stream continues with another run.
+    Moved(Box<Run>),
+    /// The run has ended while another one was searched for.
+    Ended(Result<(), Stop>),
+}
+
 /// Starts relaying a response in a task; the caller's body ends cleanly only if the response does.
 ///
 /// Only a success may be a stream of events: the body of an error is passed on as it is, and never
@@ -197,7 +230,22 @@
     let mut events = EventSplitter::default();
     let mut buffer = BufferGuard::new(&call.shared.buffer_limit);
     loop {
-        match forward(&call, &mut run, &mut events, &mut buffer, &chunks).await {
+        let mut ended = forward(&call, &mut run, &mut events, &mut buffer, &chunks).await;
+        if let Err(Stop::Silent(cause)) = ended {
+            call.log_silent(&run.guard, cause, Some(events.events));
+            match take_over(&mut call, &mut run, &mut events, &mut buffer, &chunks).await {
+                Takeover::Same => continue,
+                Takeover::Moved(next) => {
+                    call.note_failed(&run.guard, FailureKind::Broken, cause);
+                    events.resume();
+                    // Ends the silent run.
+                    run = *next;
+                    continue;
+                }
+                Takeover::Ended(result) => ended = result,
+            }
+        }
+        match ended {
             Ok(()) => {
                 run.guard.note_done(events.events);
                 return finish(&call, run, &events, &chunks).await;
@@ -210,7 +258,7 @@
     }
 }
 
-/// Forwards the events of one run until it ends.
+/// Forwards the events of one run until it ends or is silent although the stream may move.
 async fn forward(
     call: &Call,
     run: &mut Run,
@@ -219,51 +267,126 @@
     chunks: &mpsc::Sender<Chunk>,
 ) -> Result<(), Stop> {
     let stall = (call.route.max_gap * STALL_FACTOR).max(call.route.objective * 2);
-    // Only complete events count as progress, not single bytes.
-    let mut last = Instant::now();
     loop {
-        let resumable = call.may_repeat() || call.backup.is_some();
-        let cutoff = if resumable { (last + stall).min(call.deadline) } else { call.deadline };
-        let frame = tokio::select! {
-            frame = timeout_at(cutoff, run.body.frame()) => frame,
-            () = until_unreachable(&call.shared, &run.guard.placement, call.route.max_gap),
-                if resumable =>
+        let may_move = call.may_repeat() || call.backup.is_some();
+        let cutoff =
+            if may_move { (run.progress + stall).min(call.deadline) } else { call.deadline };
+        let (placement, alone) = (run.guard.placement.clone(), run.alone);
+        let part = tokio::select! {
+            part = timeout_at(cutoff, read(&call.shared, run, events, buffer)) => part,
+            () = until_unreachable(&call.shared, &placement, call.route.max_gap),
+                if may_move && !alone =>
             {
-                return Err(Stop::Broken("the endpoint cannot be reached".to_owned()));
+                return Err(Stop::Silent("the endpoint cannot be reached"));
             }
             () = chunks.closed() => return Err(Stop::CallerGone),
         };
-        let bytes = match frame {
-            Err(_) if Instant::now() >= call.deadline => return Err(Stop::TimedOut),
-            Err(_) => return Err(Stop::Broken("stream stalled".to_owned())),
-            Ok(None) => {
-                let rest = events.take_rest();
-                let mut defect = run.defect(events, &rest);
-                if defect.is_none() {
-                    defect = cut_by_crash(&call.shared, &run.guard, run.framing).await;
-                }
-                if let Some(defect) = defect {
-                    return Err(Stop::Broken(defect.to_owned()));
-                }
-                return if rest.is_empty() { Ok(()) } else { send_chunk(chunks, rest).await };
-            }
-            Ok(Some(Err(error))) => return Err(Stop::Broken(error.to_string())),
-            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+        let Ok(part) = part else {
+            let is_late = Instant::now() >= call.deadline;
+            return Err(if is_late { Stop::TimedOut } else { Stop::Silent("stream stalled") });
         };
-        let complete = events.push(&bytes);
-        let complete = complete.map_err(|error| Stop::Broken(error.to_string()))?;
-        if !buffer.set(events.capacity()) {
-            let cause = format!("memory limit reached by an event of {} bytes", events.pending());
-            return Err(Stop::Broken(cause));
+        if let Some(ended) = pass_on(run, part?, chunks).await {
+            return ended;
         }
-        if !complete.is_empty() {
-            send_chunk(chunks, complete).await?;
+    }
+}
+
+/// Reads from a run. If this is cancelled, nothing that was read is lost.
+async fn read(
+    shared: &Rc<Shared>,
+    run: &mut Run,
+    events: &mut EventSplitter,
+    buffer: &mut BufferGuard,
+) -> Result<Part, Stop> {
+    let bytes = match run.body.frame().await {
+        None => {
+            let rest = events.take_rest();
+            let mut defect = run.defect(events, &rest);
+            if defect.is_none() {
+                defect = cut_by_crash(shared, &run.guard, run.framing).await;
+            }
+            return defect
+                .map_or(Ok(Part::End(rest)), |defect| Err(Stop::Broken(defect.to_owned())));
+        }
+        Some(Err(error)) => return Err(Stop::Broken(error.to_string())),
+        Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+    };
+    let complete = events.push(&bytes).map_err(|error| Stop::Broken(error.to_string()))?;
+    if !buffer.set(events.capacity()) {
+        let cause = format!("memory limit reached by an event of {} bytes", events.pending());
+        return Err(Stop::Broken(cause));
+    }
+    Ok(if complete.is_empty() { Part::Incomplete } else { Part::Events(complete) })
+}
+
+/// Sends a part of a stream to the caller; returns the result if the run has ended.
+///
+/// Only complete events count as progress, not single bytes.
+async fn pass_on(
+    run: &mut Run,
+    part: Part,
+    chunks: &mpsc::Sender<Chunk>,
+) -> Option<Result<(), Stop>> {
+    match part {
+        Part::Incomplete => None,
+        Part::Events(bytes) => {
+            if let Err(stop) = send_chunk(chunks, bytes).await {
+                return Some(Err(stop));
+            }
             // Time spent waiting for a slow caller does not count as a stall.
-            last = Instant::now();
+            (run.progress, run.alone) = (Instant::now(), false);
+            None
         }
+        Part::End(rest) if rest.is_empty() => Some(Ok(())),
+        Part::End(rest) => Some(send_chunk(chunks, rest).await),
     }
 }
 
+/// Searches for an endpoint that continues the stream of a silent run. The run is kept until one
+/// has answered, and goes on if it yields an event before.
+async fn take_over(
+    call: &mut Call,
+    run: &mut Run,
+    events: &mut EventSplitter,
+    buffer: &mut BufferGuard,
+    chunks: &mpsc::Sender<Chunk>,
+) -> Takeover {
+    let (shared, position) = (call.shared.clone(), Position::of(run, events));
+    let searched = {
+        let search = search(call, &position);
+        tokio::pin!(search);
+        loop {
+            tokio::select! {
+                biased;
+                part = read(&shared, run, events, buffer) => match part {
+                    Ok(Part::Incomplete) => {}
+                    Ok(part) => break Ok(part),
+                    Err(stop) => match search.await {
+                        Some(next) => return Takeover::Moved(Box::new(next)),
+                        None => return Takeover::Ended(Err(stop)),
+                    },
+                },
+                next = &mut search => match next {
+                    Some(next) => return Takeover::Moved(Box::new(next)),
+                    None => break Err(()),
+                },
+                () = chunks.closed() => return Takeover::Ended(Err(Stop::CallerGone)),
+            }
+        }
+    };
+    let (part, found) = match searched {
+        Ok(part) => (part, true),
+        Err(()) => (Part::Incomplete, false),
+    };
+    let ms = run.progress.elapsed().as_millis() as u64;
+    (run.progress, run.alone) = (Instant::now(), true);
+    if found {
+        log_event!(shared.log, ENDPOINT_RESUMED, "request" => call.forwarded.id.as_deref(),
+            "endpoint" => &*run.guard.placement.name, "ms" => ms);
+    }
+    pass_on(run, part, chunks).await.map_or(Takeover::Same, Takeover::Ended)
+}
+
 fn log_complete(call: &Call, guard: &AttemptGuard, framing: Framing, events: &EventSplitter) {
     call.note_duration();
     if events.events > 0 {
@@ -293,26 +416,21 @@
     }
     let (end, cause) = stop.describe();
     if end == "broken" {
+        let position = Position::of(&run, events);
         // Closing the connection ends this run before another one starts.
-        let Run { guard, begun, body, connection, media, .. } = run;
+        let Run { guard, begun, body, connection, .. } = run;
         let answering = begun.elapsed();
         drop((body, connection));
         call.note_failed(&guard, FailureKind::Broken, &cause);
         note_broken(call, &guard, Some(answering)).await;
         drop(guard);
         events.resume();
-        if let Some(next) = fail_over(call, events, media.as_deref()).await {
-            return Some(next);
-        }
-        while call.may_run_again() {
-            match resume(call, events, media.as_deref()).await {
-                Ok(next) => return Some(next),
-                Err(ResumeError::Failed) => {}
-                Err(ResumeError::Exhausted) => break,
-            }
-            if chunks.is_closed() {
-                break;
-            }
+        let next = tokio::select! {
+            next = search(call, &position) => next,
+            () = chunks.closed() => None,
+        };
+        if next.is_some() {
+            return next;
         }
     }
     log_stop(call, end, &cause, events);
@@ -326,51 +444,88 @@
         "ms" => call.arrived.elapsed().as_millis() as u64);
 }
 
+impl Position {
+    /// Where the stream of a run continues.
+    fn of(run: &Run, events: &EventSplitter) -> Self {
+        Self { last: events.last.clone(), events: events.events, media: run.media.clone() }
+    }
+}
+
+/// Searches for an endpoint that continues a stream, as far as retries are allowed.
+async fn search(call: &mut Call, position: &Position) -> Option<Run> {
+    let mut awaited = Awaited::default();
+    awaited.extend(begin_copy(call, position));
+    loop {
+        if !awaited.is_promising() && call.may_run_again() {
+            awaited.extend(begin_run(call, position));
+        }
+        if awaited.is_empty() {
+            return None;
+        }
+        match awaited.next(call).await {
+            News::Silent => {}
+            News::TimedOut => {
+                awaited.time_out(call);
+                return None;
+            }
+            News::Sent(attempt, sent) => {
+                let next = accept(call, *attempt, sent, position).await;
+                if next.is_some() {
+                    awaited.give_up(call, "another endpoint has answered");
+                    return next;
+                }
+            }
+        }
+    }
+}
+
 /// Continues a run on the engine that replicates its KV cache. This is the same run, so it is
 /// allowed for requests that must not run again, too.
-async fn fail_over(call: &mut Call, events: &EventSplitter, media: Option<&str>) -> Option<Run> {
+fn begin_copy(call: &mut Call, position: &Position) -> Option<Attempt<()>> {
     let backup = call.backup.take()?;
     let handle = call.forwarded.id.as_deref().map(HandleName::from)?;
     if !call.may_send_again() {
         return None;
     }
     let phase = Phase::Decode { source: backup.address, handle: &handle };
-    // `place` and `start_run` log failures, except for a timeout.
-    start_run(call, Search::Copy(backup.key), phase, events, media).await.ok()
+    begin(call, Search::Copy(backup.key), phase, position)
 }
 
 /// Starts a new run that continues after the last complete event.
-async fn resume(
-    call: &mut Call,
-    events: &EventSplitter,
-    media: Option<&str>,
-) -> Result<Run, ResumeError> {
-    start_run(call, Search::Run { split: false }, Phase::Whole, events, media).await
+fn begin_run(call: &mut Call, position: &Position) -> Option<Attempt<()>> {
+    begin(call, Search::Run { split: false }, Phase::Whole, position)
 }
 
-async fn start_run(
+/// Places an attempt that continues a stream and sends the request.
+fn begin(
     call: &mut Call,
     search: Search,
     phase: Phase<'_>,
-    events: &EventSplitter,
-    media: Option<&str>,
-) -> Result<Run, ResumeError> {
-    let placement = call.place(search);
-    let mut guard = placement.map_err(|_| ResumeError::Exhausted)?;
-    let last = events.last.clone();
-    let retryable = call.route.kind.may_repeat() && call.runs + 1 < call.route.attempts;
-    let deadline = call.deadline;
-    let cutoff = if retryable { Instant::now() + response_limit(call, &guard) } else { deadline };
-    let sent = timeout_at(cutoff.min(deadline), call.send(&guard, phase, last.as_deref())).await;
+    position: &Position,
+) -> Option<Attempt<()>> {
+    // `place` logs denials.
+    let guard = call.place(search).ok()?;
+    let sending = call.begin_send(&guard, phase, position.last.as_deref());
+    Some(Attempt::new(call, search, guard, sending, ()))
+}
+
+/// Turns the response of an attempt into the next run of a stream, if it continues the stream.
+async fn accept(
+    call: &mut Call,
+    attempt: Attempt<()>,
+    sent: SendOutcome,
+    position: &Position,
+) -> Option<Run> {
+    let Attempt { mut guard, search, .. } = attempt;
     let response = match sent {
-        Ok(SendOutcome::Responded(response))
+        SendOutcome::Responded(response)
             if response.status == StatusCode::OK
                 && response.facts.signed
-                && continues(media, &response.headers) =>
+                && continues(position.media.as_deref(), &response.headers) =>
         {
             response
         }
-        Ok(sent) => {
+        sent => {
             if matches!(sent, SendOutcome::Responded(_) | SendOutcome::Unknown(_)) {
                 call.runs += 1;
             }
@@ -378,19 +533,13 @@
             if matches!(sent, SendOutcome::Unknown(_)) {
                 note_broken(call, &guard, None).await;
             }
-            return Err(ResumeError::Failed);
-        }
-        Err(_) if Instant::now() < deadline => {
-            call.runs += 1;
-            call.note_failed(&guard, FailureKind::Broken, "no answer in time");
-            note_broken(call, &guard, None).await;
-            return Err(ResumeError::Failed);
+            return None;
         }
-        Err(_) => return Err(ResumeError::Exhausted),
     };
     call.runs += 1;
     guard.note_first();
     log_event!(call.shared.log, RESUMED, "request" => call.forwarded.id.as_deref(),
-        "endpoint" => &*guard.placement.name, "after" => last, "search" => search.label());
-    Ok(Run::new(call, guard, *response, events.events))
+        "endpoint" => &*guard.placement.name, "after" => position.last.as_deref(),
+        "search" => search.label());
+    Some(Run::new(call, guard, *response, position.events))
 }
--- a/crates/serve/src/send.rs
+++ b/crates/serve/src/send.rs
@@ -127,12 +127,12 @@
 ///
 /// Dropping the future closes the connection, which makes the endpoint cancel the request.
 pub async fn send(
-    shared: &Rc<Shared>,
-    placement: &Placement,
-    forwarded: &ForwardedRequest,
-    outbound: &Outbound<'_>,
+    shared: Rc<Shared>,
+    placement: Placement,
+    id: Option<Rc<str>>,
+    mut request: Request<Full<Bytes>>,
 ) -> SendOutcome {
-    let mut request = build_request(shared, forwarded, outbound);
+    let (shared, placement) = (&shared, &placement);
     let settings = ConnectionSettings::default();
     // The placement spent a request if the endpoint named a rate limit then.
     let mut spent = placement.share.is_some();
@@ -171,8 +171,8 @@
     let facts = (shared.wire.read_response)(&head.headers);
     connection.note_idle(facts.idle);
     let endpoint = EndpointRef { key: placement.key, name: &placement.name };
-    note_availability(shared, endpoint, forwarded.id.as_deref(), head.status, &facts);
-    if facts.echo.is_some() && facts.echo.as_deref() != forwarded.id.as_deref() {
+    note_availability(shared, endpoint, id.as_deref(), head.status, &facts);
+    if facts.echo.is_some() && facts.echo.as_deref() != id.as_deref() {
         return SendOutcome::Unknown("the answer belongs to another request".to_owned());
     }
     if let Some(pace) = facts.pace {
@@ -200,7 +200,8 @@
     }))
 }
 
-fn build_request(
+/// Builds the request for an endpoint from that of the caller.
+pub fn build_request(
     shared: &Shared,
     forwarded: &ForwardedRequest,
     outbound: &Outbound<'_>,
