The bound on a request's duration scales with its length

Cause: with 16 observations and more, the bound was the smaller of the model's duration and the longest that was observed, whatever lengths were observed.

Now the observation is scaled: the largest ratio of real to modelled duration times that of the request. The case "longer than all that were observed" (40 requests of 400 ms, modelled 800 ms; the next one modelled 6 s) had a bound of 500 ms before, 3,750 ms now; the others are unchanged.

--- a/crates/policy/src/durations.rs
+++ b/crates/policy/src/durations.rs
@@ -27,6 +27,8 @@
     longest: Duration,
     /// Longest time by which a request took longer than the model's duration times [`SPREAD`].
     excess: Duration,
+    /// Largest ratio of a request's duration to that of the model.
+    ratio: f64,
 }
 
 impl Window {
@@ -35,6 +37,7 @@
             count: self.count.saturating_add(other.count),
             longest: self.longest.max(other.longest),
             excess: self.excess.max(other.excess),
+            ratio: self.ratio.max(other.ratio),
         }
     }
 }
@@ -53,7 +56,9 @@
     pub fn note(&mut self, expected: Duration, real: Duration, now: Moment) {
         *self = self.at(now);
         let excess = real.saturating_sub(expected.mul_f64(SPREAD));
-        self.current = self.current.merge(Window { count: 1, longest: real, excess });
+        let ratio =
+            if expected.is_zero() { 0.0 } else { real.as_secs_f64() / expected.as_secs_f64() };
+        self.current = self.current.merge(Window { count: 1, longest: real, excess, ratio });
     }
 
     /// Bound on the duration of a request, unless it is an outlier; `modelled` is the duration that
@@ -71,7 +76,10 @@
             return None;
         }
         let spread = if known.count < MIN_COUNT { FEW_SPREAD } else { SPREAD };
-        let observed = Some(known.longest.mul_f64(spread)).filter(|_| known.count >= FEW_COUNT);
+        // The request may be longer than all that were observed.
+        let scaled = modelled.unwrap_or_default().mul_f64(known.ratio);
+        let observed = known.longest.max(scaled).mul_f64(spread);
+        let observed = Some(observed).filter(|_| known.count >= FEW_COUNT);
         let modelled = modelled.map(|modelled| modelled.mul_f64(SPREAD) + known.excess);
         match (modelled, observed) {
             (Some(modelled), Some(observed)) if known.count >= MIN_COUNT => {
--- a/crates/policy/tests/durations.rs
+++ b/crates/policy/tests/durations.rs
@@ -100,6 +100,14 @@
             open: 0,
             bound: Some(1250),
         },
+        Case {
+            name: "longer than all that were observed",
+            observed: [(800, 400)].repeat(40),
+            interval: 1,
+            modelled: Some(6000),
+            open: 0,
+            bound: Some(3750),
+        },
         Case {
             name: "much shorter than the model says, few observations",
             observed: [(4000, 1000)].repeat(4),
