A read of a stream that is cancelled at its end loses no bytes

Found by reading the diff: at the end of a body without a length, the bytes after the last event were taken out of the buffer before a connection test of up to 50 ms. If the search of another endpoint ended meanwhile, or the run counted as silent, they were gone. They are taken after the test now. No test of its own.

--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -80,8 +80,8 @@
     }
 
     /// Why a body that ended with its connection in good order is not whole, if it is not.
-    fn defect(&self, events: &EventSplitter, rest: &[u8]) -> Option<&'static str> {
-        if self.holds_events(events) && !rest.trim_ascii().is_empty() {
+    fn defect(&self, events: &EventSplitter) -> Option<&'static str> {
+        if self.holds_events(events) && !events.rest().trim_ascii().is_empty() {
             return Some("the stream ended in the middle of an event");
         }
         let is_empty = self.framing == Framing::Connection && events.events == self.begin;
@@ -300,13 +300,14 @@
 ) -> Result<Part, Stop> {
     let bytes = match run.body.frame().await {
         None => {
-            let rest = events.take_rest();
-            let mut defect = run.defect(events, &rest);
+            let mut defect = run.defect(events);
             if defect.is_none() {
                 defect = cut_by_crash(shared, &run.guard, run.framing).await;
             }
-            return defect
-                .map_or(Ok(Part::End(rest)), |defect| Err(Stop::Broken(defect.to_owned())));
+            return match defect {
+                Some(defect) => Err(Stop::Broken(defect.to_owned())),
+                None => Ok(Part::End(events.take_rest())),
+            };
         }
         Some(Err(error)) => return Err(Stop::Broken(error.to_string())),
         Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -352,7 +353,7 @@
     chunks: &mpsc::Sender<Chunk>,
 ) -> Takeover {
     let (shared, position) = (call.shared.clone(), Position::of(run, events));
-    let searched = {
+    let part = {
         let search = search(call, &position);
         tokio::pin!(search);
         loop {
@@ -360,30 +361,26 @@
                 biased;
                 part = read(&shared, run, events, buffer) => match part {
                     Ok(Part::Incomplete) => {}
-                    Ok(part) => break Ok(part),
-                    Err(stop) => match search.await {
-                        Some(next) => return Takeover::Moved(Box::new(next)),
-                        None => return Takeover::Ended(Err(stop)),
-                    },
+                    Ok(part) => break part,
+                    Err(stop) => {
+                        let next = search.await.map(Box::new);
+                        return next.map_or(Takeover::Ended(Err(stop)), Takeover::Moved);
+                    }
                 },
                 next = &mut search => match next {
                     Some(next) => return Takeover::Moved(Box::new(next)),
-                    None => break Err(()),
+                    None => break Part::Incomplete,
                 },
                 () = chunks.closed() => return Takeover::Ended(Err(Stop::CallerGone)),
             }
         }
     };
-    let (part, found) = match searched {
-        Ok(part) => (part, true),
-        Err(()) => (Part::Incomplete, false),
-    };
-    let ms = run.progress.elapsed().as_millis() as u64;
-    (run.progress, run.alone) = (Instant::now(), true);
-    if found {
+    if !matches!(part, Part::Incomplete) {
         log_event!(shared.log, ENDPOINT_RESUMED, "request" => call.forwarded.id.as_deref(),
-            "endpoint" => &*run.guard.placement.name, "ms" => ms);
+            "endpoint" => &*run.guard.placement.name,
+            "ms" => run.progress.elapsed().as_millis() as u64);
     }
+    (run.progress, run.alone) = (Instant::now(), true);
     pass_on(run, part, chunks).await.map_or(Takeover::Same, Takeover::Ended)
 }
 
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -101,6 +101,11 @@
         Ok(())
     }
 
+    /// The buffered bytes after the last complete event.
+    pub fn rest(&self) -> &[u8] {
+        &self.pending
+    }
+
     /// Number of buffered bytes of an incomplete event.
     pub fn pending(&self) -> usize {
         self.pending.len()
