An attempt that is dropped without an outcome counts as a run

What callers' runners saw: a resumable stream with two attempts that was silent twice was sent to the other, hanging runner twice, three arrivals in all.

Cause: an attempt that was dropped because the silent run went on was not counted, so that it did not use up the route's attempts (BUDGET). Attempts count from their start now; an outcome that shows that nothing was run takes it back.

a_silent_runner_costs_no_request_that_no_other_one_takes asks for two attempts at most: before, 3 in both cases in which the other one hangs; silence, streams, broken_streams and front pass.

--- a/crates/serve/src/awaited.rs
+++ b/crates/serve/src/awaited.rs
@@ -46,15 +46,17 @@
 }
 
 impl<T> Attempt<T> {
-    /// An attempt that has just begun.
+    /// An attempt that has just begun. It counts as a run of the request, unless its outcome shows
+    /// otherwise, so that one that is dropped without an outcome does, too.
     pub fn new(
-        call: &Call,
+        call: &mut Call,
         search: Search,
         guard: AttemptGuard,
         sending: Sending,
         held: T,
     ) -> Self {
         let limit = Instant::now() + response_limit(call, &guard);
+        call.runs += 1;
         Self { guard, search, held, sending, limit, silent: false }
     }
 }
@@ -100,7 +102,7 @@
     /// elsewhere.
     pub async fn next(&mut self, call: &mut Call) -> News<T> {
         let deadline = call.deadline;
-        let (shared, may_move) = (call.shared.clone(), call.may_move());
+        let (shared, may_move) = (call.shared.clone(), call.may_repeat());
         let latest = self.attempts.last().filter(|attempt| !attempt.silent && may_move);
         let latest = latest.map(|attempt| {
             (attempt.limit, attempt.guard.placement.clone(), probe_delay(&attempt.guard))
@@ -135,7 +137,7 @@
         };
         let latest = self.attempts.last_mut().expect("only an attempt that is awaited is silent");
         latest.silent = true;
-        call.note_silent(&latest.guard, silence);
+        call.note_silent(&latest.guard, silence, None);
         News::Silent
     }
 
@@ -144,8 +146,6 @@
         for attempt in self.attempts.drain(..) {
             if attempt.silent {
                 call.note_failed(&attempt.guard, FailureKind::Broken, cause);
-            } else {
-                call.runs += 1;
             }
         }
     }
@@ -153,18 +153,16 @@
     /// Gives up the attempts that are left after the request's deadline.
     pub fn time_out(&mut self, call: &mut Call) {
         for attempt in self.attempts.drain(..) {
-            call.runs += u32::from(!attempt.silent);
             call.note_failed(&attempt.guard, FailureKind::Broken, "no answer in time");
         }
     }
 }
 
-/// Takes the outcome of an attempt into account.
+/// Takes the outcome of an attempt into account, which is not counted as a run any more.
 fn note_outcome<T>(call: &mut Call, attempt: &Attempt<T>, sent: &SendOutcome) {
     call.backup = attempt.sending.backup;
+    call.runs -= 1;
     if attempt.silent {
-        // It was counted as a run when it fell silent.
-        call.runs -= 1;
         log_event!(call.shared.log, ENDPOINT_RESUMED, "request" => call.forwarded.id.as_deref(),
             "endpoint" => &*attempt.guard.placement.name,
             "ms" => attempt.guard.elapsed().as_millis() as u64);
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -336,20 +336,9 @@
         self.shared.hub.ask(move |node, now| node.note_duration(&route, &service, durations, now));
     }
 
-    /// Whether another run may follow the attempt in progress.
-    pub fn may_move(&self) -> bool {
-        self.route.kind.may_repeat() && self.runs + 1 < self.route.attempts
-    }
-
-    /// Records that an attempt is silent, which counts as a run while it is kept, and excludes its
-    /// endpoint from further attempts.
-    pub fn note_silent(&mut self, guard: &AttemptGuard, cause: &str) {
-        self.runs += 1;
-        self.log_silent(guard, cause, None);
-    }
-
-    /// Logs that an endpoint is silent, after the given number of events.
-    pub fn log_silent(&mut self, guard: &AttemptGuard, cause: &str, events: Option<u64>) {
+    /// Records that an endpoint is silent, after `events` events of a stream, and excludes it from
+    /// further attempts.
+    pub fn note_silent(&mut self, guard: &AttemptGuard, cause: &str, events: Option<u64>) {
         self.tried.push(guard.placement.key);
         metrics::counter!("agatestair_serve_silences_total").increment(1);
         log_event!(self.shared.log, ENDPOINT_SILENT, "request" => self.forwarded.id.as_deref(),
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -232,7 +232,7 @@
     loop {
         let mut ended = forward(&call, &mut run, &mut events, &mut buffer, &chunks).await;
         if let Err(Stop::Silent(cause)) = ended {
-            call.log_silent(&run.guard, cause, Some(events.events));
+            call.note_silent(&run.guard, cause, Some(events.events));
             match take_over(&mut call, &mut run, &mut events, &mut buffer, &chunks).await {
                 Takeover::Same => continue,
                 Takeover::Moved(next) => {
