A part that crashes many engines at once is quarantined at the next crash

Cause: crashes within 0.1 s of each other count once, as those of a lost rack do. After six crashes within 4 ms two more waves of crashes were necessary, and these come only after the engines have started again.

Change: five crashes at any times and another one half a second after the fifth are sufficient, too, unless a run with the part survived in the minute before. Instances report survivals from five crashes on, so that they are known by then. Of parts with as many moments the one with more crashes goes first.

Tests: new cases "five crashes at once and one half a second later are sufficient" and a_run_that_survived_is_reported_after_the_loss_of_a_rack failed before (Clear instead of Denied; no report) and pass now; four cases guard the other side (many at once, four and one, five and one after 0.499 s, a part that survived elsewhere) and passed before.

Open: "separate prefills", six crashes within 0.18 s, so at two moments, and no further one before engines are back.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -26,6 +26,13 @@
 /// The same for a part of which a run survived shortly before.
 const PROVEN_CRASHES: usize = 5;
 
+/// Crashes of a part, even within [`SAME_CAUSE`], after which one that recurs is sufficient.
+const MASS_CRASHES: usize = 5;
+
+/// Time after the last of [`MASS_CRASHES`] from which on another crash counts as recurrence. By then
+/// other instances have reported runs that survived.
+const RECURRED_AFTER: Duration = Duration::from_millis(500);
+
 /// Age up to which a surviving run raises the number of crashes that is necessary.
 const PROVEN_AGE: Duration = Duration::from_secs(60);
 
@@ -346,11 +353,10 @@
         let mut changes = Vec::new();
         loop {
             let evidence = self.evidence();
-            let sufficient = evidence.iter().filter(|(part, crashes)| {
-                let count = distinct(crashes);
-                count >= MIN_CRASHES && count >= self.necessary(**part, crashes)
-            });
-            let guilty = sufficient.max_by_key(|(part, crashes)| (distinct(crashes), **part));
+            let sufficient =
+                evidence.iter().filter(|(part, crashes)| self.is_sufficient(**part, crashes));
+            let guilty =
+                sufficient.max_by_key(|(part, crashes)| (distinct(crashes), crashes.len(), **part));
             let Some((part, crashes)) = guilty else {
                 self.note_doubted(&evidence, now);
                 return changes;
@@ -388,18 +394,21 @@
         evidence
     }
 
-    /// Number of crashes that are necessary to quarantine a part.
-    fn necessary(&self, part: ServicePart, crashes: &[Moment]) -> usize {
+    /// Whether crashes are sufficient to quarantine a part.
+    fn is_sufficient(&self, part: ServicePart, crashes: &[Moment]) -> bool {
         let proven = self.survivors.get(&part).zip(crashes.first());
-        let proven = proven.is_some_and(|(at, first)| first.since(*at) < PROVEN_AGE);
-        if proven { PROVEN_CRASHES } else { MIN_CRASHES }
+        if proven.is_some_and(|(at, first)| first.since(*at) < PROVEN_AGE) {
+            return distinct(crashes) >= PROVEN_CRASHES;
+        }
+        distinct(crashes) >= MIN_CRASHES || has_recurred(crashes)
     }
 
     /// Selects the survivals that other instances should know of.
     fn note_doubted(&mut self, evidence: &HashMap<ServicePart, Vec<Moment>>, now: Moment) {
         for (part, crashes) in evidence {
             let survived = self.survivors.get(part).is_some_and(|at| now.since(*at) < PROVEN_AGE);
-            if survived && distinct(crashes) >= DOUBTED_CRASHES {
+            let doubted = distinct(crashes) >= DOUBTED_CRASHES || crashes.len() >= MASS_CRASHES;
+            if survived && doubted {
                 self.survivals.entry(*part).or_insert(now);
             }
         }
@@ -449,3 +458,9 @@
     }
     count
 }
+
+/// Whether a crash followed many others after a while.
+fn has_recurred(crashes: &[Moment]) -> bool {
+    let mass = crashes.get(MASS_CRASHES - 1).zip(crashes.last());
+    mass.is_some_and(|(mass, last)| last.since(*mass) >= RECURRED_AFTER)
+}
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -96,6 +96,74 @@
         ],
         quarantined: NONE,
     },
+    Case {
+        name: "five crashes at once and one half a second later are sufficient",
+        steps: &[
+            Crash(0, &[GUILTY, FIRST]),
+            Crash(10, &[GUILTY, FIRST]),
+            PeerCrash(20, &[GUILTY]),
+            PeerCrash(30, &[GUILTY, FIRST]),
+            Crash(40, &[GUILTY, FIRST]),
+            Check(500, GUILTY, CLEAR),
+            Crash(540, &[GUILTY, FIRST]),
+            Check(540, GUILTY, DENIED),
+        ],
+        quarantined: &[GUILTY],
+    },
+    Case {
+        name: "five crashes at once and one earlier than half a second later are not",
+        steps: &[
+            Crash(0, &[HOT]),
+            Crash(10, &[HOT]),
+            Crash(20, &[HOT]),
+            Crash(30, &[HOT]),
+            Crash(40, &[HOT]),
+            Crash(539, &[HOT]),
+        ],
+        quarantined: NONE,
+    },
+    Case {
+        name: "many crashes at once are not sufficient",
+        steps: &[
+            Crash(0, &[HOT]),
+            Crash(10, &[HOT]),
+            Crash(20, &[HOT]),
+            Crash(30, &[HOT]),
+            Crash(40, &[HOT]),
+            Crash(50, &[HOT]),
+            PeerCrash(60, &[HOT]),
+            PeerCrash(99, &[HOT]),
+        ],
+        quarantined: NONE,
+    },
+    Case {
+        name: "four crashes at once and one half a second later are not sufficient",
+        steps: &[
+            Crash(0, &[HOT]),
+            Crash(10, &[HOT]),
+            Crash(20, &[HOT]),
+            Crash(30, &[HOT]),
+            Crash(5000, &[HOT]),
+        ],
+        quarantined: NONE,
+    },
+    Case {
+        name: "a part that survived elsewhere before two losses of a rack is not blamed",
+        steps: &[
+            Crash(0, &[HOT]),
+            Crash(10, &[HOT]),
+            Crash(20, &[HOT]),
+            Crash(30, &[HOT]),
+            Crash(40, &[HOT]),
+            PeerSurvival(400, HOT, 1000),
+            Crash(2000, &[HOT]),
+            Crash(2010, &[HOT]),
+            Crash(2020, &[HOT]),
+            Crash(2030, &[HOT]),
+            Crash(2040, &[HOT]),
+        ],
+        quarantined: NONE,
+    },
     Case {
         name: "crashes a tenth of a second apart count",
         steps: &[Crash(0, &[GUILTY]), Crash(100, &[GUILTY]), Crash(200, &[GUILTY])],
@@ -541,6 +609,17 @@
     expect_that!(contained(&other, SERVICE, HOT), eq(false));
 }
 
+#[gtest]
+fn a_run_that_survived_is_reported_after_the_loss_of_a_rack() {
+    let mut quarantine = Quarantine::default();
+    quarantine.note_survived(SERVICE, std::iter::once(HOT), at(0));
+    for endpoint in 0..5 {
+        quarantine.note_peer_crash(&report(SERVICE, endpoint, &[HOT]), at(1000));
+    }
+    let reports = quarantine.survivals(Duration::from_millis(120), at(1000));
+    expect_that!(reports, eq(&[Survival { part: part(HOT), age: Duration::from_secs(1) }]));
+}
+
 #[gtest]
 fn a_verdict_of_a_part_without_requests_for_longer_displaces_none() {
     let mut quarantine = Quarantine::default();
