A silent attempt at an engine is kept until another one has answered

If its engine then took no new attempt, the caller waited for the other engine alone, although the cancelled one would have gone on.

Cause: abandon_first cancelled an attempt before anybody had taken its place. The class: accepted work is thrown away at a guess at the time. Now the further attempt runs beside the silent one at the same engine, if each engine with room already has one; the attempts that are overtaken are cancelled as before. Number and budget of further attempts are unchanged.

silent_attempts_are_kept_until_another_one_has_answered (policy, stragglers) failed before: `record.done` was `None`, 5 s after the first engine had gone on. requests_at_silent_engines_begin_in_time (engines that hang) passes as before. Budget::left had no other user.

--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -36,9 +36,4 @@
     pub fn refund(&mut self, work: f64) {
         self.left = (self.left + work.max(0.0)).min(self.settings.burst);
     }
-
-    /// Number of units left.
-    pub fn left(&self) -> f64 {
-        self.left
-    }
 }
--- a/crates/policy/src/scheduler/hedge.rs
+++ b/crates/policy/src/scheduler/hedge.rs
@@ -162,12 +162,9 @@
         }
         let service = request.facts.service.clone();
         let pool = request.pool;
-        let Some(choice) = self.choose(now, key, Task::Whole) else {
-            if !slow {
-                self.abandon_first(now, key);
-            }
-            return false;
-        };
+        // An engine may answer a new request although one hangs there.
+        let again = cause == HedgeCause::Silent;
+        let Some(choice) = self.choose(now, key, Task::Whole, again) else { return false };
         if slow && self.endpoints[choice.endpoint].slowdown >= self.settings.eject.good_ratio {
             return false;
         }
@@ -184,20 +181,6 @@
         true
     }
 
-    /// Cancels the first of several silent attempts if its engine has room for another one and the
-    /// budget allows it. An engine may answer a new request although one hangs there.
-    fn abandon_first(&mut self, now: Moment, key: RequestKey) {
-        let request = &self.requests[key];
-        let [first, _, ..] = request.live[..] else { return };
-        let engine = self.endpoints.get(self.attempts[first].endpoint);
-        let has_room = engine.is_some_and(|engine| engine.has_room(now, &self.settings.engine));
-        let charge = self.hedge_work(request.pool, key, request.prompt());
-        let service = request.facts.service.clone();
-        if has_room && self.budgets(&service).hedge.left() >= charge.prompt + charge.output {
-            self.cancel(first);
-        }
-    }
-
     /// Upper bound of the engine time of a hedged attempt.
     fn hedge_work(&self, pool: PoolKey, key: RequestKey, uncached: u32) -> HedgeWork {
         let request = &self.requests[key];
--- a/crates/policy/tests/fake/mod.rs
+++ b/crates/policy/tests/fake/mod.rs
@@ -489,6 +489,11 @@
 }
 
 impl FakeEndpoint {
+    /// Whether it has an attempt.
+    pub fn is_busy(&self) -> bool {
+        !self.jobs.is_empty()
+    }
+
     fn report(&mut self) -> EndpointView {
         self.view.report += 1;
         let active = self.jobs.len().min(MAX_BATCH);
--- a/crates/policy/tests/stragglers.rs
+++ b/crates/policy/tests/stragglers.rs
@@ -4,9 +4,11 @@
 
 use std::time::Duration;
 
-use agatestair_policy::{Budget, BudgetSettings, HedgeRule, HedgeSettings, SchedulerSettings};
+use agatestair_policy::{
+    AttemptEnd, Budget, BudgetSettings, HedgeRule, HedgeSettings, SchedulerSettings,
+};
 use agatestair_schema::link::EndpointRole;
-use fake::{FIRST_TARGET, PlanCase, Simulation, completion, lists};
+use fake::{FIRST_TARGET, FakeEndpoint, PlanCase, Simulation, completion, lists};
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, proptest};
 
@@ -128,6 +130,35 @@
     }
 }
 
+/// An engine that is silent and goes on ends the request, although all engines are silent at first,
+/// another one hangs for good, and none takes a further attempt.
+#[gtest]
+fn silent_attempts_are_kept_until_another_one_has_answered() {
+    let mut sim = Simulation::new(&SchedulerSettings::default(), &lists(&PLANS), 1);
+    sim.add_endpoints(2, EndpointRole::Mixed, 0);
+    sim.run(Duration::from_millis(500));
+    for endpoint in &mut sim.endpoints {
+        endpoint.slowdown = f64::INFINITY;
+    }
+    let deadline = sim.now + Duration::from_secs(30);
+    let key =
+        sim.submit(0, completion("gold", "c", 400, 24, deadline)).expect("an idle fleet admits");
+    sim.step();
+    let first = sim.endpoints.iter().position(FakeEndpoint::is_busy).expect("an engine has it");
+    while !sim.endpoints.iter().all(FakeEndpoint::is_busy) {
+        sim.step();
+    }
+    for endpoint in &mut sim.endpoints {
+        endpoint.fault = Some(AttemptEnd::NotRun);
+    }
+    sim.run(FIRST_TARGET * 2);
+    sim.endpoints[first].slowdown = 1.0;
+    sim.run(Duration::from_secs(5));
+    let record = &sim.entries[0].records[&key];
+    expect_that!(record.refused, none());
+    expect_that!(record.done, some(anything()));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
 
