A silent stream is kept until another engine has overtaken it

Cause: an attempt with no piece for 2 s after its first, or with a missing piece for 0.3 s, was ended and cancelled at its engine, and only then the request was queued for another attempt. The class: accepted work is thrown away at a guess at the time.

Now such an attempt is only reported as silent (Scheduler::note_silent). If all running attempts of its request are, the request waits for a further one, with the same queue, retry budget and number of attempts as before. The silent attempt goes on if its next piece comes first (the request leaves the queue and the budget is given back); it is cancelled at its engine, and charged to it as a failure, once another one has overtaken it. Pieces are joined by their offsets as before. An engine at which attempts of a request failed or still run is used after those with fewer of them. An attempt with no piece at all for 10 s still ends. Events 1015 and 1016 tell it; agatestair_silent_attempts_total counts silent attempts, given up or not.

silence_of_an_engine_costs_no_response_that_no_other_one_takes (entry, streams) failed before in each of its four cases (Truncated, code "failed", after one or two tokens).

--- a/crates/entry/src/core/actor.rs
+++ b/crates/entry/src/core/actor.rs
@@ -237,7 +237,8 @@
         self.scheduler.note_end(moment, attempt, AttemptEnd::Cancelled);
     }
 
-    /// Ends requests whose deadline has passed and attempts that have been silent for too long.
+    /// Ends requests whose deadline has passed and attempts that have timed out, and marks the silent
+    /// attempts.
     pub(super) fn check_timeouts(&mut self, cx: CX![]) {
         let now = cx.now();
         let late: Vec<RequestKey> =
@@ -245,13 +246,10 @@
         for request in late {
             self.deadline_passed(now, request);
         }
-        let silent: Vec<AttemptKey> = self
-            .attempts
-            .iter()
-            .filter(|(_, attempt)| attempt.is_silent(now))
-            .map(|(key, _)| key)
-            .collect();
-        for attempt in silent {
+        for attempt in self.find_attempts(|attempt| attempt.is_timed_out(now)) {
+            self.attempt_timed_out(now, attempt);
+        }
+        for attempt in self.find_attempts(|attempt| attempt.is_silent(now)) {
             self.attempt_silent(now, attempt);
         }
         self.refresh_view(now);
@@ -259,6 +257,10 @@
         after!(TIMEOUT_CHECK_INTERVAL, [cx], check_timeouts());
     }
 
+    fn find_attempts(&self, matches: impl Fn(&Attempt) -> bool) -> Vec<AttemptKey> {
+        self.attempts.iter().filter(|(_, attempt)| matches(attempt)).map(|(key, _)| key).collect()
+    }
+
     /// Sends the counters to the snapshot writer.
     fn snapshot(&mut self, cx: CX![]) {
         if let Some(snapshots) = &self.parts.snapshots {
--- a/crates/entry/src/core/attempts.rs
+++ b/crates/entry/src/core/attempts.rs
@@ -16,24 +16,32 @@
 use crate::endpoint::client::Timeouts;
 use crate::endpoint::engine::{EngineAttempt, EngineWork, cancel_attempt};
 use crate::endpoint::service::ServiceAttempt;
-use crate::events::{ATTEMPT_FAILED, PIECE_DROPPED};
+use crate::events::{ATTEMPT_FAILED, ATTEMPT_RESUMED, ATTEMPT_SILENT, PIECE_DROPPED};
 use crate::refusal::{RefusalKind, Refused};
 
-/// Timeout for the first piece of an attempt at an engine.
-const FIRST_PIECE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Timeout between two pieces of an attempt.
-const PIECE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Timeout for a missing piece when later ones have arrived.
-const GAP_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time without a piece after which an attempt at an engine ends.
+const PIECE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time without a piece after which an attempt that has sent some counts as silent.
+const SILENT_TIME: Duration = Duration::from_secs(2);
+/// Time after which an attempt counts as silent if a piece is missing and later ones have arrived.
+const GAP_TIME: Duration = Duration::from_millis(300);
 
 impl Attempt {
-    /// Whether one of the timeouts for pieces has expired.
+    /// Whether the request may be tried elsewhere beside it.
     pub fn is_silent(&self, now: Instant) -> bool {
-        let limit = if self.has_output { PIECE_TIMEOUT } else { FIRST_PIECE_TIMEOUT };
         let missing = self
             .gap_since
-            .is_some_and(|gap_since| now.saturating_duration_since(gap_since) > GAP_TIMEOUT);
-        self.monitored && (missing || now.saturating_duration_since(self.last_activity) > limit)
+            .is_some_and(|gap_since| now.saturating_duration_since(gap_since) > GAP_TIME);
+        self.monitored && (missing || (self.has_output && self.idle_time(now) > SILENT_TIME))
+    }
+
+    /// Whether it ends for want of a piece.
+    pub fn is_timed_out(&self, now: Instant) -> bool {
+        self.monitored && self.idle_time(now) > PIECE_TIMEOUT
+    }
+
+    fn idle_time(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.last_activity)
     }
 }
 
@@ -85,6 +93,7 @@
             monitored: matches!(job.work, JobWork::Completion(_)),
             cursor,
             last_activity: now,
+            silent: false,
             gap_since: None,
             has_output: false,
             token,
@@ -104,7 +113,7 @@
                 address: started.address.clone(),
                 work: engine_work(work, started),
                 adapter: self.adapter,
-                timeouts: Timeouts { total, idle: FIRST_PIECE_TIMEOUT },
+                timeouts: Timeouts { total, idle: PIECE_TIMEOUT },
                 token: started.token.clone(),
                 channel: self.channel.clone(),
             }
@@ -149,6 +158,11 @@
         let verdict = work.assembly.accept(&mut attempt.cursor, piece, &mut out);
         match verdict {
             Verdict::Accepted => {
+                if std::mem::take(&mut attempt.silent) {
+                    log_event!(self.parts.log, ATTEMPT_RESUMED, "request" => &*job.caller.id,
+                        "endpoint" => &*attempt.endpoint,
+                        "ms" => attempt.idle_time(now).as_millis() as u64);
+                }
                 attempt.last_activity = now;
                 attempt.has_output = true;
                 attempt.gap_since =
@@ -247,10 +261,26 @@
         self.attempt_failed(now, key, &AttemptFailure::maybe_ran(cause));
     }
 
-    /// Fails an attempt that has been silent for too long.
+    /// Lets the request of a silent attempt be tried elsewhere. The attempt is kept until another one
+    /// has overtaken it: a sound engine may fall silent and go on.
     pub(super) fn attempt_silent(&mut self, now: Instant, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get_mut(key).filter(|attempt| !attempt.silent) else {
+            return;
+        };
+        attempt.silent = true;
+        let job = &mut self.jobs[attempt.request];
+        let at = now.saturating_duration_since(job.admitted);
+        job.explanation.add(at, format!("attempt at {} is silent", attempt.endpoint));
+        log_event!(self.parts.log, ATTEMPT_SILENT, "request" => &*job.caller.id,
+            "endpoint" => &*attempt.endpoint,
+            "ms" => attempt.idle_time(now).as_millis() as u64);
+        metrics::counter!("agatestair_silent_attempts_total").increment(1);
+        self.scheduler.note_silent(key);
+    }
+
+    /// Fails an attempt for want of a piece.
+    pub(super) fn attempt_timed_out(&mut self, now: Instant, key: AttemptKey) {
         if self.attempts.contains_key(key) {
-            metrics::counter!("agatestair_silent_attempts_total").increment(1);
             self.abort_attempt(now, key, "nothing was heard for too long");
         }
     }
--- a/crates/entry/src/core/job.rs
+++ b/crates/entry/src/core/job.rs
@@ -86,6 +86,8 @@
     pub cursor: AttemptCursor,
     /// When it started or last sent a piece.
     pub last_activity: Instant,
+    /// Whether it counts as silent.
+    pub silent: bool,
     /// Since when a piece has been missing although later ones have arrived.
     pub gap_since: Option<Instant>,
     /// Whether timeouts between pieces apply: true for attempts at engines.
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -40,6 +40,12 @@
 /// A connection could not be accepted.
 pub const ACCEPT_FAILED: Event =
     Event { number: 1014, level: Level::Warning, text: "cannot accept connections" };
+/// Nothing has come from the engine of an attempt for a while.
+pub const ATTEMPT_SILENT: Event =
+    Event { number: 1015, level: Level::Info, text: "attempt silent" };
+/// The engine of a silent attempt has gone on.
+pub const ATTEMPT_RESUMED: Event =
+    Event { number: 1016, level: Level::Info, text: "silent attempt went on" };
 /// The outcome of a keyed call has not been recorded yet.
 pub const RECORD_DELAYED: Event =
     Event { number: 1020, level: Level::Warning, text: "outcome of a keyed call not yet recorded" };
@@ -66,6 +72,8 @@
     RESPONSE_TRUNCATED,
     CONNECTION_FAILED,
     ACCEPT_FAILED,
+    ATTEMPT_SILENT,
+    ATTEMPT_RESUMED,
     RECORD_DELAYED,
     SNAPSHOT_FAILED,
     PROTECTION_DISABLED,
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -200,6 +200,82 @@
     Ok(())
 }
 
+/// An engine that is silent for a while in the middle of a stream and goes on.
+struct SilentCase {
+    name: &'static str,
+    engines: usize,
+    /// Faults of the engine of the stream.
+    own: fn() -> Value,
+    /// Faults of the other engine.
+    other: fn() -> Value,
+}
+
+/// New attempts get no answer anywhere.
+const SILENT_CASES: [SilentCase; 4] = [
+    SilentCase {
+        name: "the other one refuses",
+        engines: 2,
+        own: || json!({"freeze_ms": 2400, "refuse": 1000}),
+        other: || json!({"refuse": 1000}),
+    },
+    SilentCase {
+        name: "the other one hangs",
+        engines: 2,
+        own: || json!({"freeze_ms": 2400, "refuse": 1000}),
+        other: || json!({"hang": 1000}),
+    },
+    SilentCase {
+        name: "there is no other one",
+        engines: 1,
+        own: || json!({"freeze_ms": 2400, "refuse": 1000}),
+        other: || json!({}),
+    },
+    SilentCase {
+        name: "a piece is late",
+        engines: 2,
+        own: || json!({"late_ms": 600, "share": 0.1, "refuse": 1000}),
+        other: || json!({"refuse": 1000}),
+    },
+];
+
+#[gtest]
+fn silence_of_an_engine_costs_no_response_that_no_other_one_takes() -> Result<()> {
+    for case in &SILENT_CASES {
+        let rig = Rig::start(RigSettings {
+            engines: case.engines,
+            step_ms: 40.0,
+            ..RigSettings::default()
+        });
+        let mut stream = EventStream::open(rig.entry.address, case.name, 60);
+        verify_true!(stream.read_piece())?;
+        let own = rig.runs()[0].endpoint.clone();
+        for engine in ["engine0-1", "engine1-1"].into_iter().take(case.engines) {
+            let faults = if engine == own { case.own } else { case.other };
+            rig.set_endpoint_faults(engine, &faults());
+        }
+        let end = stream.read_to_end();
+        expect_that!(end, eq(StreamEnd::Complete), "{}: {:?}", case.name, stream.error);
+        expect_that!(stream.text, eq(&answer_text(MODEL, case.name, 60)), "{}", case.name);
+    }
+    Ok(())
+}
+
+#[gtest]
+fn silent_engine_is_cancelled_once_another_one_has_answered() -> Result<()> {
+    let rig = Rig::start(RigSettings { step_ms: 40.0, ..RigSettings::default() });
+    let mut stream = EventStream::open(rig.entry.address, "silent", 200);
+    verify_true!(stream.read_piece())?;
+    let own = rig.runs()[0].clone();
+    rig.set_endpoint_faults(&own.endpoint, &json!({"freeze_ms": 3000}));
+    expect_that!(stream.read_to_end(), eq(StreamEnd::Complete), "{:?}", stream.error);
+    expect_that!(stream.text, eq(&answer_text(MODEL, "silent", 200)));
+    let runs = rig.runs();
+    let silent = runs.iter().find(|run| run.id == own.id).or_fail()?;
+    expect_that!(silent.outcome, any![eq(RunOutcome::Cancelled), eq(RunOutcome::Gone)]);
+    expect_that!(runs.iter().filter(|run| run.outcome == RunOutcome::Done).count(), eq(1));
+    Ok(())
+}
+
 #[gtest]
 fn response_survives_engines_that_never_begin() -> Result<()> {
     for hanging in [&["engine0-1"][..], &["engine0-1", "engine1-1"]] {
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -80,6 +80,8 @@
     arrivals: VecDeque<RequestKey>,
     /// Requests that may need a hedged attempt.
     stragglers: Vec<RequestKey>,
+    /// Requests with silent attempts.
+    silent: Vec<RequestKey>,
     /// Actions that the next poll returns.
     outbox: Vec<Action>,
     scratch: Vec<EndpointKey>,
@@ -116,6 +118,7 @@
             expiries: BTreeSet::new(),
             arrivals: VecDeque::new(),
             stragglers: Vec::new(),
+            silent: Vec::new(),
             outbox: Vec::new(),
             scratch: Vec::new(),
             engines: 0,
@@ -174,6 +177,7 @@
     /// Decides what to do now and appends the actions to `actions`.
     pub fn poll(&mut self, now: Moment, actions: &mut Vec<Action>) {
         self.refuse_expired(now);
+        self.enqueue_silent(now);
         if self.settings.policy == PolicyName::Own {
             let observes = now.since(self.last_observed) >= TICK;
             if observes {
@@ -209,6 +213,12 @@
         self.prompt_processed(now, attempt);
     }
 
+    /// Records that nothing has arrived for a running attempt for too long. It is kept, and the request
+    /// may be tried elsewhere; the attempt is cancelled once another one has overtaken it.
+    pub fn note_silent(&mut self, attempt: AttemptKey) {
+        self.attempt_silent(attempt);
+    }
+
     /// Records the end of an attempt; [`AttemptEnd::Done`] also ends the request, unless the
     /// attempt was a [`crate::Purpose::Prefill`] one.
     pub fn note_end(&mut self, now: Moment, attempt: AttemptKey, end: AttemptEnd) {
--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -105,7 +105,7 @@
         while let Some(key) = self.pools[pool].handoff.front().copied() {
             let waits = self.requests.get(key).is_some_and(|r| r.stage == Stage::Handoff);
             if waits {
-                let Some(choice) = self.choose(now, key, Task::Decode, false) else { return };
+                let Some(choice) = self.choose(now, key, Task::Decode, true) else { return };
                 self.expiries.remove(&(self.requests[key].expiry, key));
                 self.start(now, key, choice, Purpose::First);
             }
@@ -151,7 +151,7 @@
         self.turn += 1;
         self.pools[pool].last_turn = self.turn;
         let key = turn.ticket.request;
-        let Some(choice) = self.choose(now, key, task, false) else {
+        let Some(choice) = self.choose(now, key, task, true) else {
             let stuck = self.reroute(key, pool, route);
             self.enqueue(key);
             return !stuck;
@@ -253,6 +253,7 @@
             first: None,
             expected: choice.expected,
             cancelled: false,
+            silent: false,
             streaming: None,
             charge: 0.0,
         });
--- a/crates/policy/src/scheduler/hedge.rs
+++ b/crates/policy/src/scheduler/hedge.rs
@@ -89,12 +89,17 @@
             && !request.live.is_empty()
             && request.attempts + request.hedges < self.settings.max_attempts
             && request.live.iter().all(|key| {
-                let attempt = &self.attempts[*key];
-                let waited = now.since(attempt.started);
-                attempt.first.is_none() && waited >= self.silent_limit(request, attempt)
+                self.attempts[*key].first.is_none() && self.has_no_progress(now, request, *key)
             })
     }
 
+    /// Whether a running attempt is silent, or has not begun to answer in time.
+    pub(crate) fn has_no_progress(&self, now: Moment, request: &Request, key: AttemptKey) -> bool {
+        let attempt = &self.attempts[key];
+        let waited = now.since(attempt.started);
+        attempt.silent || (attempt.first.is_none() && waited >= self.silent_limit(request, attempt))
+    }
+
     /// Time after which an attempt without a first token counts as silent: the plan's target, or
     /// longer at engines that usually take longer, as far as the deadline leaves time.
     fn silent_limit(&self, request: &Request, attempt: &Attempt) -> Duration {
--- a/crates/policy/src/scheduler/outcome.rs
+++ b/crates/policy/src/scheduler/outcome.rs
@@ -3,7 +3,7 @@
 use agatestair_schema::settings::PolicyName;
 
 use crate::action::{Action, AttemptEnd, Purpose, RefusalCode};
-use crate::keys::{AttemptKey, RequestKey};
+use crate::keys::{AttemptKey, EndpointKey, RequestKey};
 use crate::moment::Moment;
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::{Attempt, Stage};
@@ -15,6 +15,7 @@
     pub(crate) fn tokens_arrived(&mut self, now: Moment, key: AttemptKey, tokens: u32) {
         let Some(attempt) = self.attempts.get_mut(key) else { return };
         attempt.tokens += tokens;
+        attempt.silent = false;
         let endpoint = attempt.endpoint;
         let request = attempt.request;
         let first = attempt.first.is_none();
@@ -29,6 +30,7 @@
         }
         self.note_stream(now, key, tokens);
         let reached = self.attempts[key].reached();
+        self.dequeue(request);
         let Some(request_state) = self.requests.get_mut(request) else { return };
         request_state.tokens = request_state.tokens.max(reached);
         if request_state.first.is_none() {
@@ -37,7 +39,7 @@
             self.note_milestone(request, Milestone::First);
         }
         if self.requests[request].live.len() > 1 {
-            self.cancel_overtaken(request, key, reached);
+            self.cancel_overtaken(now, request, key, reached);
         }
     }
 
@@ -120,13 +122,22 @@
     }
 
     /// Cancels the attempts that the later attempt `leader` has overtaken.
-    fn cancel_overtaken(&mut self, request: RequestKey, leader: AttemptKey, reached: u32) {
+    fn cancel_overtaken(
+        &mut self,
+        now: Moment,
+        request: RequestKey,
+        leader: AttemptKey,
+        reached: u32,
+    ) {
         let started = self.attempts[leader].started;
         let live = self.requests[request].live.clone();
         for key in live.into_iter().filter(|key| *key != leader) {
             let attempt = &self.attempts[key];
             let later = started >= attempt.started;
             if later && reached >= attempt.reached() {
+                if attempt.silent {
+                    self.note_failure(now, attempt.endpoint);
+                }
                 self.cancel(key);
                 self.refund_hedge(leader);
             }
@@ -162,8 +173,16 @@
         }
         self.attempts[key].first = Some(now);
         self.first_arrived(now, key);
+        self.dequeue(request);
         let Some(state) = self.requests.get_mut(request) else { return };
         state.live.retain(|live| *live != key);
+        let attempts = &self.attempts;
+        let goes_on = |live: &AttemptKey| {
+            !attempts[*live].silent && attempts[*live].purpose != Purpose::Prefill
+        };
+        if state.live.iter().any(goes_on) {
+            return;
+        }
         state.stage = Stage::Handoff;
         state.expiry = state.facts.deadline;
         self.expiries.insert((state.expiry, request));
@@ -202,10 +221,7 @@
         endpoint.note_open(now);
         let failed = matches!(end, AttemptEnd::NotRun | AttemptEnd::Failed) && !attempt.cancelled;
         if failed {
-            endpoint.failures += 1;
-            if endpoint.health.note_failure() {
-                self.eject(now, attempt.endpoint);
-            }
+            self.note_failure(now, attempt.endpoint);
         } else if end == AttemptEnd::Done && attempt.first.is_none() {
             let secs = now.since(attempt.started).as_secs_f64();
             endpoint.health.note_delay(secs / attempt.expected.max(1e-4));
@@ -213,6 +229,14 @@
         self.refresh(now, attempt.endpoint);
     }
 
+    fn note_failure(&mut self, now: Moment, key: EndpointKey) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else { return };
+        endpoint.failures += 1;
+        if endpoint.health.note_failure() {
+            self.eject(now, key);
+        }
+    }
+
     fn request_done(&mut self, now: Moment, attempt: &Attempt) {
         let key = attempt.request;
         let request = &self.requests[key];
@@ -230,11 +254,13 @@
     fn attempt_failed(&mut self, now: Moment, attempt: &Attempt, end: AttemptEnd) {
         let key = attempt.request;
         let request = &mut self.requests[key];
+        if !attempt.cancelled {
+            request.failed.push(attempt.endpoint);
+        }
         let waits = request.stage != Stage::Running;
         if waits || request.live.iter().any(|live| !self.attempts[*live].cancelled) {
             return;
         }
-        request.failed.push(attempt.endpoint);
         if attempt.tokens > 0 {
             // The limit counts only attempts without progress, so that a long stream can be
             // continued any number of times.
@@ -279,4 +305,65 @@
             queue.decrement();
         }
     }
+
+    /// Records that an attempt is silent, see [`Scheduler::note_silent`].
+    pub(crate) fn attempt_silent(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get_mut(key) else { return };
+        attempt.silent = true;
+        let Some(request) = self.requests.get_mut(attempt.request) else { return };
+        if attempt.tokens > 0 {
+            request.attempts = 0;
+        }
+        if !self.silent.contains(&attempt.request) {
+            self.silent.push(attempt.request);
+        }
+    }
+
+    /// Lets the requests wait for a further attempt of which all running attempts are silent.
+    pub(crate) fn enqueue_silent(&mut self, now: Moment) {
+        let mut silent = std::mem::take(&mut self.silent);
+        silent.retain(|key| {
+            let request = self.requests.get(*key);
+            request
+                .is_some_and(|request| request.live.iter().any(|live| self.attempts[*live].silent))
+        });
+        for key in &silent {
+            let request = &self.requests[*key];
+            let may_run = request.stage == Stage::Running
+                && request.idempotent()
+                && request.attempts < self.settings.max_attempts;
+            let stuck = |live: &AttemptKey| self.has_no_progress(now, request, *live);
+            if !may_run || !request.live.iter().all(stuck) {
+                continue;
+            }
+            let service = request.facts.service.clone();
+            if self.budgets(&service).retry.spend(1.0) {
+                self.requests[*key].expiry = self.requests[*key].facts.deadline;
+                self.enqueue(*key);
+            }
+        }
+        self.silent = silent;
+    }
+
+    /// Takes a request out of its queue whose silent attempt goes on.
+    fn dequeue(&mut self, key: RequestKey) {
+        let Some(request) = self.requests.get_mut(key) else { return };
+        let stage = std::mem::replace(&mut request.stage, Stage::Running);
+        if stage == Stage::Running {
+            return;
+        }
+        self.expiries.remove(&(request.expiry, key));
+        if stage == Stage::Handoff {
+            return;
+        }
+        if self.settings.policy == PolicyName::Own {
+            let queue = self.pools[request.pool].queue(request.route);
+            queue.plan(request.plan).uncount(&request.ticket);
+            queue.decrement();
+        } else {
+            self.arrivals.retain(|waiting| *waiting != key);
+        }
+        let service = request.facts.service.clone();
+        self.budgets(&service).retry.refund(1.0);
+    }
 }
--- a/crates/policy/src/scheduler/place.rs
+++ b/crates/policy/src/scheduler/place.rs
@@ -42,8 +42,8 @@
 }
 
 impl Scheduler {
-    /// Chooses the endpoint with the least cost among those with room. One at which an attempt of the
-    /// request runs comes last, and only if `again` is set.
+    /// Chooses the endpoint with the least cost among those with room at which the fewest attempts of
+    /// the request failed or still run; they run at none of them unless `again` is set.
     pub(crate) fn choose(
         &mut self,
         now: Moment,
@@ -68,14 +68,15 @@
         };
         // Decode engines get long prompts only if the pool has no other engines.
         let bounded = pool.prefill_count + pool.mixed_count > 0;
-        let mut best: Option<((bool, bool, f64), Choice)> = None;
+        let mut best: Option<((usize, f64), Choice)> = None;
         for endpoint in self.scratch.iter().filter(|endpoint| again || !tried(endpoint)) {
             let (cost, choice) = self.cost(now, request, *endpoint, task);
             let long = choice.uncached > self.settings.engine.decode_prompt;
             if long && bounded && self.endpoints[*endpoint].decode_only() {
                 continue;
             }
-            let rank = (tried(endpoint), request.failed.contains(endpoint), cost);
+            let failed = request.failed.iter().filter(|failed| *failed == endpoint).count();
+            let rank = (failed + usize::from(tried(endpoint)), cost);
             if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                 best = Some((rank, choice));
             }
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -97,6 +97,8 @@
     /// Nominal time to the first token or the call's response, in seconds.
     pub(crate) expected: f64,
     pub(crate) cancelled: bool,
+    /// Whether it has been silent for too long since its last tokens.
+    pub(crate) silent: bool,
     /// When its last tokens arrived, while it counts as streaming.
     pub(crate) streaming: Option<Moment>,
     /// Hedge budget spent on its output and not refunded, in seconds of engine time.
--- a/crates/policy/tests/fake/mod.rs
+++ b/crates/policy/tests/fake/mod.rs
@@ -295,6 +295,14 @@
         self.apply(entry, actions);
     }
 
+    /// Reports all running attempts of an entry as silent.
+    pub fn silence(&mut self, entry: usize) {
+        let entry = &mut self.entries[entry];
+        for attempt in entry.running.keys() {
+            entry.scheduler.note_silent(*attempt);
+        }
+    }
+
     /// Advances the simulation by `duration`.
     pub fn run(&mut self, duration: Duration) {
         let end = self.now + duration;
--- a/crates/policy/tests/outcomes.rs
+++ b/crates/policy/tests/outcomes.rs
@@ -23,6 +23,7 @@
     SetFault { endpoint: usize, fault: Option<AttemptEnd> },
     SetSlowdown { endpoint: usize, factor: f64 },
     Advance(u64),
+    Silence,
 }
 
 fn events() -> impl Strategy<Value = Vec<Event>> {
@@ -44,6 +45,7 @@
         1 => (0..8_usize, 1.0..20.0)
             .prop_map(|(endpoint, factor)| Event::SetSlowdown { endpoint, factor }),
         4 => (1..200_u64).prop_map(Event::Advance),
+        1 => Just(Event::Silence),
     ];
     prop::collection::vec(event, 1..150)
 }
@@ -96,6 +98,7 @@
             Event::SetFault { endpoint, fault } => sim.endpoints[endpoint].fault = fault,
             Event::SetSlowdown { endpoint, factor } => sim.endpoints[endpoint].slowdown = factor,
             Event::Advance(millis) => sim.run(Duration::from_millis(millis)),
+            Event::Silence => sim.silence(0),
         }
     }
     for endpoint in &mut sim.endpoints {
--- a/crates/policy/tests/stragglers.rs
+++ b/crates/policy/tests/stragglers.rs
@@ -8,6 +8,7 @@
     AttemptEnd, Budget, BudgetSettings, HedgeRule, HedgeSettings, SchedulerSettings,
 };
 use agatestair_schema::link::EndpointRole;
+use agatestair_schema::settings::PolicyName;
 use fake::{FIRST_TARGET, FakeEndpoint, PlanCase, Simulation, completion, lists};
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, proptest};
@@ -159,6 +160,75 @@
     expect_that!(record.done, some(anything()));
 }
 
+/// A stream whose engine is silent in its middle and goes on.
+struct MiddleCase {
+    name: &'static str,
+    policy: PolicyName,
+    retry: BudgetSettings,
+    /// How new attempts end.
+    fault: Option<AttemptEnd>,
+    /// Whether a further attempt is started.
+    tried: bool,
+}
+
+const RETRY: BudgetSettings = BudgetSettings { ratio: 0.1, burst: 100.0 };
+const REFUSED: MiddleCase = MiddleCase {
+    name: "refused elsewhere",
+    policy: PolicyName::Own,
+    retry: RETRY,
+    fault: Some(AttemptEnd::NotRun),
+    tried: true,
+};
+const MIDDLE_CASES: [MiddleCase; 5] = [
+    REFUSED,
+    MiddleCase { name: "failed elsewhere", fault: Some(AttemptEnd::Failed), ..REFUSED },
+    MiddleCase { name: "taken elsewhere", fault: None, ..REFUSED },
+    MiddleCase { name: "round robin", policy: PolicyName::RoundRobin, ..REFUSED },
+    MiddleCase {
+        name: "retry budget spent",
+        retry: BudgetSettings { ratio: 0.0, burst: 0.0 },
+        tried: false,
+        ..REFUSED
+    },
+];
+
+#[gtest]
+fn streams_of_silent_engines_that_go_on_are_whole() {
+    for case in &MIDDLE_CASES {
+        let settings = SchedulerSettings {
+            policy: case.policy,
+            retry: case.retry.clone(),
+            ..SchedulerSettings::default()
+        };
+        let mut sim = Simulation::new(&settings, &lists(&PLANS), 1);
+        sim.add_endpoints(2, EndpointRole::Mixed, 0);
+        sim.run(Duration::from_millis(500));
+        let deadline = sim.now + Duration::from_secs(30);
+        let request = completion("gold", "c", 400, 200, deadline);
+        let key = sim.submit(0, request).expect("an idle fleet admits");
+        while sim.entries[0].records[&key].first_token.is_none() {
+            sim.step();
+        }
+        let engine = sim.endpoints.iter().position(FakeEndpoint::is_busy).expect("one has it");
+        sim.endpoints[engine].slowdown = f64::INFINITY;
+        for endpoint in &mut sim.endpoints {
+            endpoint.fault = case.fault;
+        }
+        sim.silence(0);
+        sim.run(Duration::from_millis(200));
+        let record = &sim.entries[0].records[&key];
+        expect_that!(record.attempts > 1, eq(case.tried), "{}", case.name);
+        expect_that!(record.refused, none(), "{}", case.name);
+        let kept = sim.endpoints[engine].is_busy();
+        expect_that!(kept, eq(case.fault.is_some()), "{}", case.name);
+        sim.endpoints[engine].slowdown = 1.0;
+        sim.run(Duration::from_secs(20));
+        let record = &sim.entries[0].records[&key];
+        expect_that!(record.done, some(anything()), "{}", case.name);
+        expect_that!(sim.entries[0].scheduler.waiting(), eq(0), "{}", case.name);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
 
