A keyed call doesn't run again because its service was silent

Cause: the endpoints were asked for the key one after the other, for 1 s each; silence counted as "cannot be reached", and with a claim on the key the call is then dispatched. Now all endpoints are asked at once, and for 3.5 s, so that a sound service that falls silent for a second or so is heard. The lookups of repeats and of calls without an answer (outcome_unknown, still_running) gain the same.

call_that_ran_without_a_record_does_not_run_again_if_the_service_is_silent (entry, keyed) failed before: two effects of one key, no x-agatestair-replayed.

Open: with a claim, a lookup that gets no answer from some endpoint in 3.5 s still dispatches the call, although docs/design/store-down.md says that each endpoint must have answered.

--- a/crates/entry/src/claims/key_lookup.rs
+++ b/crates/entry/src/claims/key_lookup.rs
@@ -1,6 +1,8 @@
 //! Looks up the state of an idempotency key at the endpoints of a plain service.
 
 use std::sync::Arc;
+use std::sync::mpsc::{Sender, channel};
+use std::thread;
 use std::time::Duration;
 
 use agatestair_schema::endpoint::{KeyState, KeyStatus};
@@ -10,10 +12,11 @@
 
 use crate::core::message::CallResponse;
 use crate::endpoint::client::{Timeouts, open_client};
+use crate::endpoint::engine::STACK_BYTES;
 
-/// Timeouts of one lookup request.
+/// Timeouts of one lookup request; a sound endpoint may be silent for a while.
 const TIMEOUTS: Timeouts =
-    Timeouts { total: Duration::from_millis(1000), idle: Duration::from_millis(1000) };
+    Timeouts { total: Duration::from_millis(3500), idle: Duration::from_millis(3500) };
 /// Maximum size of a lookup response in bytes.
 const MAX_RESPONSE_BYTES: u64 = 8 * 1024 * 1024;
 
@@ -30,22 +33,41 @@
     Unreachable,
 }
 
-/// Queries the endpoints of a service for `key`. Blocks the calling thread.
-pub fn look_up_key(addresses: &[Arc<str>], key: &str) -> KeyLookup {
-    let agent = open_client(TIMEOUTS);
-    let mut lookup = if addresses.is_empty() { KeyLookup::Unreachable } else { KeyLookup::Unseen };
+/// Queries all endpoints of a service for `key` at once. Blocks the calling thread.
+pub fn look_up_key(addresses: &[Arc<str>], key: &Arc<str>) -> KeyLookup {
+    let (sender, answers) = channel();
     for address in addresses {
-        match look_up(&agent, address, key) {
-            Some(status) => match status.state {
-                KeyState::Done => return KeyLookup::Done(response_of(status, address)),
-                KeyState::Running => lookup = KeyLookup::Running,
-                KeyState::Unseen => {}
-            },
-            None if lookup == KeyLookup::Unseen => lookup = KeyLookup::Unreachable,
-            None => {}
+        start_lookup(address.clone(), key.clone(), sender.clone());
+    }
+    drop(sender);
+    let (mut heard, mut running) = (0, false);
+    for (address, status) in answers {
+        heard += 1;
+        match status.state {
+            KeyState::Done => return KeyLookup::Done(response_of(status, &address)),
+            KeyState::Running => running = true,
+            KeyState::Unseen => {}
         }
     }
-    lookup
+    if running {
+        KeyLookup::Running
+    } else if heard == 0 || heard < addresses.len() {
+        KeyLookup::Unreachable
+    } else {
+        KeyLookup::Unseen
+    }
+}
+
+/// Queries one endpoint on a separate thread, which sends nothing if there is no answer.
+fn start_lookup(address: Arc<str>, key: Arc<str>, answers: Sender<(Arc<str>, KeyStatus)>) {
+    let thread = thread::Builder::new().name("lookup".to_owned()).stack_size(STACK_BYTES);
+    // If no thread can be started, the endpoint counts as unreachable.
+    let _ = thread.spawn(move || {
+        if let Some(status) = look_up(&open_client(TIMEOUTS), &address, &key) {
+            // Fails if another endpoint has already answered that the call completed.
+            let _ = answers.send((address, status));
+        }
+    });
 }
 
 fn look_up(agent: &Agent, address: &str, key: &str) -> Option<KeyStatus> {
--- a/crates/entry/src/http/keyed.rs
+++ b/crates/entry/src/http/keyed.rs
@@ -182,7 +182,7 @@
     let fleet = server.view().fleet;
     let addresses = fleet.and_then(|fleet| fleet.services.get(&keyed.service).cloned());
     let addresses = addresses.unwrap_or_default();
-    let key = keyed.key.clone();
+    let key: Arc<str> = keyed.key.as_str().into();
     let lookup = spawn_blocking(move || look_up_key(&addresses, &key));
     lookup.await.unwrap_or(KeyLookup::Unreachable)
 }
--- a/crates/entry/tests/keyed.rs
+++ b/crates/entry/tests/keyed.rs
@@ -163,6 +163,21 @@
     Ok(())
 }
 
+#[gtest]
+fn call_that_ran_without_a_record_does_not_run_again_if_the_service_is_silent() -> Result<()> {
+    let rig = Rig::start(RigSettings { store_down: "dispatch_once", ..RigSettings::default() });
+    rig.set_platform_faults(&json!({"outage": true}));
+    verify_that!(post(rig.entry.address, "k", "body").status, eq(200))?;
+    verify_that!(effects(&rig, "k"), eq(1))?;
+    rig.set_platform_faults(&json!({}));
+    set_ledgers(&rig, &json!({"freeze_ms": 2400}));
+    let later = post(rig.entry.address, "k", "body");
+    expect_that!(later.status, eq(200), "{}", later.body);
+    expect_that!(later.header("x-agatestair-replayed"), some(eq("true")));
+    expect_that!(effects(&rig, "k"), eq(1));
+    Ok(())
+}
+
 #[gtest]
 fn claim_of_a_killed_entry_is_resolved_by_the_service() -> Result<()> {
     let mut rig = Rig::start(RigSettings::default());
