--- a/crates/policy/src/scheduler/hedge.rs
+++ b/crates/policy/src/scheduler/hedge.rs
@@ -89,12 +89,17 @@
             && !request.live.is_empty()
             && request.attempts + request.hedges < self.settings.max_attempts
             && request.live.iter().all(|key| {
-                let attempt = &self.attempts[*key];
-                let waited = now.since(attempt.started);
-                attempt.first.is_none() && waited >= self.silent_limit(request, attempt)
+                self.attempts[*key].first.is_none() && self.has_no_progress(now, request, *key)
             })
     }
 
+    /// Whether a running attempt is silent, or has not begun to answer in time.
+    pub(crate) fn has_no_progress(&self, now: Moment, request: &Request, key: AttemptKey) -> bool {
+        let attempt = &self.attempts[key];
+        let waited = now.since(attempt.started);
+        attempt.silent || (attempt.first.is_none() && waited >= self.silent_limit(request, attempt))
+    }
+
     /// Time after which an attempt without a first token counts as silent: the plan's target, or
     /// longer at engines that usually take longer, as far as the deadline leaves time.
     fn silent_limit(&self, request: &Request, attempt: &Attempt) -> Duration {
@@ -162,12 +167,9 @@
         }
         let service = request.facts.service.clone();
         let pool = request.pool;
-        let Some(choice) = self.choose(now, key, Task::Whole) else {
-            if !slow {
-                self.abandon_first(now, key);
-            }
-            return false;
-        };
+        // An engine may answer a new request although one hangs there.
+        let again = cause == HedgeCause::Silent;
+        let Some(choice) = self.choose(now, key, Task::Whole, again) else { return false };
         if slow && self.endpoints[choice.endpoint].slowdown >= self.settings.eject.good_ratio {
             return false;
         }
@@ -184,20 +186,6 @@
         true
     }
 
-    /// Cancels the first of several silent attempts if its engine has room for another one and the
-    /// budget allows it. An engine may answer a new request although one hangs there.
-    fn abandon_first(&mut self, now: Moment, key: RequestKey) {
-        let request = &self.requests[key];
-        let [first, _, ..] = request.live[..] else { return };
-        let engine = self.endpoints.get(self.attempts[first].endpoint);
-        let has_room = engine.is_some_and(|engine| engine.has_room(now, &self.settings.engine));
-        let charge = self.hedge_work(request.pool, key, request.prompt());
-        let service = request.facts.service.clone();
-        if has_room && self.budgets(&service).hedge.left() >= charge.prompt + charge.output {
-            self.cancel(first);
-        }
-    }
-
     /// Upper bound of the engine time of a hedged attempt.
     fn hedge_work(&self, pool: PoolKey, key: RequestKey, uncached: u32) -> HedgeWork {
         let request = &self.requests[key];
--- a/crates/policy/tests/fake/mod.rs
+++ b/crates/policy/tests/fake/mod.rs
@@ -295,6 +295,14 @@
         self.apply(entry, actions);
     }
 
+    /// Reports all running attempts of an entry as silent.
+    pub fn silence(&mut self, entry: usize) {
+        let entry = &mut self.entries[entry];
+        for attempt in entry.running.keys() {
+            entry.scheduler.note_silent(*attempt);
+        }
+    }
+
     /// Advances the simulation by `duration`.
     pub fn run(&mut self, duration: Duration) {
         let end = self.now + duration;
@@ -489,6 +497,11 @@
 }
 
 impl FakeEndpoint {
+    /// Whether it has an attempt.
+    pub fn is_busy(&self) -> bool {
+        !self.jobs.is_empty()
+    }
+
     fn report(&mut self) -> EndpointView {
         self.view.report += 1;
         let active = self.jobs.len().min(MAX_BATCH);
