Callers' connections stay open for the newest idle limit

What callers saw: after the operator lengthened idleTimeoutMs, connections that were opened before were still closed after the old limit, also those used since; a request sent within four fifths of the new limit found its connection closed. A caller that had been idle and then sent a head slowly, within both limits, was cut in the middle of the head. After a pause of the whole process, a request that had come in time was reset unread.

Cause: hyper's header_read_timeout is fixed when a connection is accepted, starts with the end of the last response, not with the first byte of the head, and is compared before tokio knows that the socket is readable, if the process was held up (epoll_wait returns early, the timers fire first).

The instance now times its connections itself: the stream records when bytes arrive and leave, a guard in the response when a request is in work. The limit is the longer one of the newest and the one that was in force at the last response, so that a shortened limit closes no connection that a caller may still use in good faith. When the time is over, the connection is closed by graceful_shutdown after the runtime has looked for bytes once more; a head or response that the caller does not go on with leaves the new event 5060, where nothing was logged at the usual level before.

--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -10,6 +10,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use crate::activity::BusyGuard;
 use crate::buffer_limit::BufferGuard;
 use crate::open_requests::RequestGuard;
 
@@ -44,6 +45,8 @@
     content: Content,
     /// The request, which stays open until the body is sent or dropped.
     request: Option<RequestGuard>,
+    /// Its connection, which is busy until then.
+    connection: Option<BusyGuard>,
 }
 
 #[derive(Debug)]
@@ -76,13 +79,18 @@
     }
 
     fn new(content: Content) -> Self {
-        Self { content, request: None }
+        Self { content, request: None, connection: None }
     }
 
     /// Keeps the request open as long as the body.
     pub fn hold(&mut self, request: RequestGuard) {
         self.request = Some(request);
     }
+
+    /// Keeps the caller's connection busy as long as the body.
+    pub fn hold_connection(&mut self, connection: BusyGuard) {
+        self.connection = Some(connection);
+    }
 }
 
 impl Body for ResponseBody {
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -160,6 +160,9 @@
 /// An endpoint that was silent has answered after all.
 pub const ENDPOINT_RESUMED: Event =
     Event { number: 5057, level: Level::Info, text: "silent endpoint went on" };
+/// A caller did not send the rest of a head, or did not take a response, within the time limit.
+pub const CALLER_TOO_SLOW: Event =
+    Event { number: 5060, level: Level::Info, text: "caller too slow, connection closed" };
 /// All events of this crate.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -216,4 +219,5 @@
     TIMELINE_MALFORMED,
     ENDPOINT_SILENT,
     ENDPOINT_RESUMED,
+    CALLER_TOO_SLOW,
 ];
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`WireFormat`] and a [`StoreClient`] for access to the store; both are plain structs of
 //! functions.
 
+mod activity;
 mod attempt_guard;
 mod awaited;
 mod body;
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,17 +15,20 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use slog::Logger;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use crate::activity::{Activity, BusyGuard, CallerStream, Phase};
 use crate::body::ResponseBody;
 use crate::buffer_limit::BufferLimit;
 use crate::bulletins::TimedUpdate;
 use crate::connection::Connection;
-use crate::events::{ACCEPT_FAILED, CONNECTION_FAILED, STORE_RESTORED, TIMELINE_MALFORMED};
+use crate::events::{
+    ACCEPT_FAILED, CALLER_TOO_SLOW, CONNECTION_FAILED, STORE_RESTORED, TIMELINE_MALFORMED,
+};
 use crate::hub::Hub;
 use crate::listen::configure_caller;
 use crate::open_requests::OpenRequests;
@@ -298,35 +302,45 @@
         return;
     }
     let limits = shared.hub.ask(|node, _| node.limits());
+    let activity = Activity::new(&limits);
     let handler = shared.clone();
     let version = Rc::new(Cell::new(Version::HTTP_11));
-    let latest = version.clone();
+    let (latest, busy) = (version.clone(), activity.clone());
     let service = service_fn(move |request: Request<Incoming>| {
-        let shared = handler.clone();
+        let (shared, guard) = (handler.clone(), busy.begin());
         latest.set(request.version());
-        async move { Ok::<_, Infallible>(dispatch(shared, request, kind).await) }
+        async move { Ok::<_, Infallible>(dispatch(shared, request, kind, guard).await) }
     });
-    // hyper's header timeout also applies to idle connections, so the longer limit is used.
     let mut connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_time.max(limits.head_time))
         .max_buf_size(limits.head_bytes.max(8192) * 2)
         .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), service);
-    let ended = tokio::select! {
-        // A request that has arrived is read before the connection is closed.
-        biased;
-        ended = &mut connection => ended,
-        () = shared.closing.cancelled() => {
-            Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
+        .serve_connection(TokioIo::new(CallerStream::new(stream, activity.clone())), service);
+    let mut closing = false;
+    let ended = loop {
+        tokio::select! {
+            // A request that has arrived is read before the connection is closed.
+            biased;
+            ended = &mut connection => break ended,
+            () = shared.closing.cancelled(), if !closing => {}
+            () = activity.expired(&shared) => {
+                let (phase, time) = activity.current();
+                if closing || phase == Phase::Head {
+                    let phase = format!("{phase:?}");
+                    log_event!(shared.log, CALLER_TOO_SLOW, "phase" => phase,
+                        "ms" => time.as_millis() as u64);
+                    return;
+                }
+                activity.restart();
+            }
         }
+        closing = true;
+        Pin::new(&mut connection).graceful_shutdown();
     };
     let Err(error) = ended else { return };
     log_event!(shared.log, CONNECTION_FAILED, "error" => error.to_string());
     if error.is_user() && version.get() < Version::HTTP_11 {
         // Such a caller takes a connection that is closed in good order for the end of its response.
-        let stream = connection.into_parts().io.into_inner();
+        let stream = connection.into_parts().io.into_inner().into_inner();
         if let Err(error) = stream.set_zero_linger() {
             log_event!(shared.log, CONNECTION_FAILED, "error" => error.to_string());
         }
@@ -337,6 +351,7 @@
     shared: Rc<Shared>,
     request: Request<Incoming>,
     kind: Listener,
+    guard: BusyGuard,
 ) -> Response<ResponseBody> {
     let mut response = match kind {
         Listener::Callers => crate::handle::handle(shared.clone(), request).await,
@@ -347,6 +362,8 @@
     if shared.leaving.is_cancelled() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    guard.note_limits(&shared.hub.ask(|node, _| node.limits()));
+    response.body_mut().hold_connection(guard);
     response
 }
 
