A changed limit on request heads holds for open connections

What callers saw: after the operator raised maxHeaderBytes from 16 KB to 64 KB, a request with a head of 50 KB on a connection that was opened before was refused with 431, which callers don't retry; after it was lowered, such a head was still accepted there.

Cause: hyper's max_buf_size is fixed when a connection is accepted, to twice the limit of that moment.

The buffer takes at least 128 KB, and the handler compares each head with twice the newest limit. A limit raised above 64 KB still holds only for connections that are opened after it.

--- a/crates/serve/src/configuration.rs
+++ b/crates/serve/src/configuration.rs
@@ -11,6 +11,9 @@
 const PATIENCE_OBJECTIVES: u32 = 4;
 const PATIENCE_GAPS: u32 = 8;
 
+/// Size of a request head that is always accepted, in bytes.
+const MIN_HEAD_BYTES: usize = 8192;
+
 /// Whether requests of a route may be retried, and the form of their responses.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RouteKind {
@@ -149,6 +152,13 @@
     }
 }
 
+impl Limits {
+    /// Size from which on heads are refused, in bytes. Callers may count the bytes in another way.
+    pub fn longest_head(&self) -> usize {
+        self.head_bytes.max(MIN_HEAD_BYTES) * 2
+    }
+}
+
 /// One version of the operators' configuration.
 #[derive(Clone, Debug, Default)]
 pub struct Configuration {
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -7,6 +7,7 @@
 use agatestair_runtime::log_event;
 use bytes::Bytes;
 use http::header::{EXPECT, HOST};
+use http::request::Parts;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::Request;
@@ -127,6 +128,10 @@
         RouteMatch::Found { route, service, version } => (route, service, version),
     };
     let (body, _body_guard) = body.map_err(|failure| (Some(route.clone()), failure))?;
+    if head_bytes(&head) > limits.longest_head() {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err((Some(route), Failure::BadRequest(status, "head too large")));
+    }
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
     headers.remove(EXPECT);
@@ -183,6 +188,14 @@
     }
 }
 
+/// Size of a request head, in bytes.
+fn head_bytes(head: &Parts) -> usize {
+    let headers = head.headers.iter();
+    // Each line has a colon, a space and a line break.
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + 4);
+    head.uri.path_and_query().map_or(0, |path| path.as_str().len()) + headers.sum::<usize>()
+}
+
 fn header_text(headers: &HeaderMap, name: &http::HeaderName) -> Option<String> {
     headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
 }
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -45,6 +45,10 @@
 /// Bytes that the kernel buffers for a caller that reads slowly.
 const SEND_BUFFER_BYTES: usize = 128 * 1024;
 
+/// Smallest limit for the buffer of a connection, which is fixed when the connection is accepted.
+/// Heads up to this size are compared with the newest limit.
+const HEAD_BUFFER_BYTES: usize = 128 * 1024;
+
 /// Maximum number of headers in a request.
 const MAX_HEADERS: usize = 128;
 
@@ -312,7 +316,7 @@
         async move { Ok::<_, Infallible>(dispatch(shared, request, kind, guard).await) }
     });
     let mut connection = http1::Builder::new()
-        .max_buf_size(limits.head_bytes.max(8192) * 2)
+        .max_buf_size(limits.longest_head().max(HEAD_BUFFER_BYTES))
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(CallerStream::new(stream, activity.clone())), service);
     let mut closing = false;
