A caller that reads nothing for two seconds keeps its response

What callers saw: a caller that stopped reading a response of 12 MB for 3 s, with a machine that acknowledged everything, found the response cut. No line was written at the usual level. The same limit ends the connection of a caller whose machine does not acknowledge for 1.8 s, as after three lost packets in a row, also while it waits for the response.

Cause: TCP_USER_TIMEOUT of 1.8 s on callers' connections, which the kernel applies to a window that stays closed as well.

The case of a machine that does not acknowledge was not run.

Callers' connections now have the time of connections to endpoints, 3.5 s. An attempt for a caller whose machine is gone lasts that much longer.

--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -14,7 +14,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
-use crate::listen::configure_endpoint;
+use crate::listen::configure_peer;
 use crate::read_limit::{LimitedStream, ReadLimit};
 use crate::wire::WireCall;
 
@@ -84,7 +84,7 @@
     pub async fn open(address: SocketAddr, settings: &ConnectionSettings) -> io::Result<Self> {
         let connecting = timeout(settings.connect, TcpStream::connect(address)).await;
         let stream = connecting.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        configure_endpoint(&stream)?;
+        configure_peer(&stream)?;
         let builder = {
             let mut builder = http1::Builder::new();
             builder.max_buf_size(MAX_HEAD_BYTES);
--- a/crates/serve/src/listen.rs
+++ b/crates/serve/src/listen.rs
@@ -8,38 +8,24 @@
 use agatestair_runtime::{Keepalive, bind, configure_stream};
 use tokio::net::TcpListener;
 
-/// Keepalive probes of callers' connections, at the shortest interval that the operating system
-/// supports. The limit for unacknowledged data allows the retransmission of one lost packet, but is
-/// shorter than the time that callers wait.
-const CALLER_KEEPALIVE: Keepalive = Keepalive {
+/// Keepalive probes, at the shortest interval that the operating system supports. The machine of a
+/// peer may stand still for up to two seconds; data that it has missed is retransmitted 3 s after it
+/// was sent at the latest. A caller that reads nothing for a while is as silent.
+const KEEPALIVE: Keepalive = Keepalive {
     idle: Duration::from_secs(1),
     interval: Duration::from_secs(1),
     retries: 2,
-    user_timeout: Duration::from_millis(1800),
+    user_timeout: Duration::from_millis(3500),
 };
 
-/// Keepalive probes of connections to endpoints. A sound endpoint's machine may stand still for up to
-/// two seconds; data that it has missed is retransmitted 3 s after it was sent at the latest.
-const ENDPOINT_KEEPALIVE: Keepalive =
-    Keepalive { user_timeout: Duration::from_millis(3500), ..CALLER_KEEPALIVE };
-
-/// Sets keepalive options so that the kernel closes connections to silent callers, and disables send
+/// Sets keepalive options so that the kernel closes connections to silent peers, and disables send
 /// delays.
 ///
 /// # Errors
 ///
 /// Returns the operating system's error.
-pub fn configure_caller<S: AsFd>(stream: &S) -> io::Result<()> {
-    configure_stream(stream, &CALLER_KEEPALIVE)
-}
-
-/// Like [`configure_caller`] for a connection to an endpoint.
-///
-/// # Errors
-///
-/// Returns the operating system's error.
-pub fn configure_endpoint<S: AsFd>(stream: &S) -> io::Result<()> {
-    configure_stream(stream, &ENDPOINT_KEEPALIVE)
+pub fn configure_peer<S: AsFd>(stream: &S) -> io::Result<()> {
+    configure_stream(stream, &KEEPALIVE)
 }
 
 /// Opens a listening socket on an address.
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -30,7 +30,7 @@
     ACCEPT_FAILED, CALLER_TOO_SLOW, CONNECTION_FAILED, STORE_RESTORED, TIMELINE_MALFORMED,
 };
 use crate::hub::Hub;
-use crate::listen::configure_caller;
+use crate::listen::configure_peer;
 use crate::open_requests::OpenRequests;
 use crate::outbox::{LoadChanges, Outbox};
 use crate::pool::Pool;
@@ -300,7 +300,7 @@
 async fn serve(shared: Rc<Shared>, stream: TcpStream, kind: Listener) {
     let _count_guard = CountGuard::new(shared.clone(), |shared| &shared.connections, 1);
     if let Err(error) =
-        configure_caller(&stream).and_then(|()| set_send_buffer(&stream, SEND_BUFFER_BYTES))
+        configure_peer(&stream).and_then(|()| set_send_buffer(&stream, SEND_BUFFER_BYTES))
     {
         log_event!(shared.log, CONNECTION_FAILED, "error" => error.to_string());
         return;
