A panic while a request is served no longer loses the request

What callers saw: a request that was read whole got neither an answer nor a refusal, its connection closed; the log said "caller disconnected" (5024). No input that panics is known; this is the only way out of the path that was found in which the process reads a whole request, is in touch with everybody, and closes the connection with no response and no true line.

Cause: Hub::ask passes a panic on to its caller, here the future of the connection, which the panic ends. The task that passes a stream on was not watched either: the stream was cut without any line.

The new test of catch_panic plays the kinds of messages.

The futures of requests and of their streams now catch panics and log them with the request (5061). A request gets 503 if nothing was sent to an endpoint, which holds since its future is dropped, and 502 otherwise.

--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -163,6 +163,9 @@
 /// A caller did not send the rest of a head, or did not take a response, within the time limit.
 pub const CALLER_TOO_SLOW: Event =
     Event { number: 5060, level: Level::Info, text: "caller too slow, connection closed" };
+/// The code that serves a request has panicked.
+pub const REQUEST_FAILED: Event =
+    Event { number: 5061, level: Level::Error, text: "request failed unexpectedly" };
 /// All events of this crate.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -220,4 +223,5 @@
     ENDPOINT_SILENT,
     ENDPOINT_RESUMED,
     CALLER_TOO_SLOW,
+    REQUEST_FAILED,
 ];
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -18,9 +18,10 @@
 use crate::body::ResponseBody;
 use crate::call::Call;
 use crate::configuration::{Limits, Route, RouteMatch};
-use crate::events::{ABANDONED, ANSWERED, ATTEMPT_FAILED};
+use crate::events::{ABANDONED, ANSWERED, ATTEMPT_FAILED, REQUEST_FAILED};
 use crate::generate::generate;
 use crate::open_requests::OpenRequest;
+use crate::panics::catch_panic;
 use crate::plain::relay_plain;
 use crate::response::{DEFAULT_RETRY_AFTER, Failure, strip_hop_by_hop};
 use crate::send::ForwardedRequest;
@@ -73,8 +74,14 @@
             let serving = serve(&shared, request, facts, arrived, passed_on.clone());
             tokio::select! {
                 biased;
-                outcome = serving => outcome,
-                () = shared.ending.cancelled() => Err((None, interrupted(passed_on.get()))),
+                outcome = catch_panic(serving) => outcome.unwrap_or_else(|cause| {
+                    log_event!(shared.log, REQUEST_FAILED, "request" => id.as_deref(),
+                        "cause" => cause, "ms" => arrived.elapsed().as_millis() as u64);
+                    Err((None, interrupted(passed_on.get(), "the request failed unexpectedly")))
+                }),
+                () = shared.ending.cancelled() => {
+                    Err((None, interrupted(passed_on.get(), "the instance is shutting down")))
+                }
             }
         }
         Err(error) => {
@@ -168,9 +175,8 @@
     response.map(|response| (matched, response)).map_err(|failure| (Some(route), failure))
 }
 
-/// Failure of a request without a response when the process is about to exit.
-fn interrupted(passed_on: bool) -> Failure {
-    let cause = "the instance is shutting down";
+/// Failure of a request whose handling has ended early without a response.
+fn interrupted(passed_on: bool, cause: &'static str) -> Failure {
     if passed_on {
         Failure::MayHaveRun(cause.to_owned())
     } else {
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -20,9 +20,10 @@
 use crate::call::Call;
 use crate::connection::Connection;
 use crate::crash::{cut_by_crash, note_broken, note_survived};
-use crate::events::{ATTEMPT_FAILED, ENDPOINT_RESUMED, RESUMED, STREAMED};
+use crate::events::{ATTEMPT_FAILED, ENDPOINT_RESUMED, REQUEST_FAILED, RESUMED, STREAMED};
 use crate::framing::Framing;
 use crate::node::Search;
+use crate::panics::catch_panic;
 use crate::reach::until_unreachable;
 use crate::send::{EndpointResponse, SendOutcome};
 use crate::shared::Shared;
@@ -168,15 +169,27 @@
         Some(media) => status.is_success() && media == EVENT_STREAM,
         None => status == StatusCode::OK,
     };
+    let (shared, id) = (call.shared.clone(), call.forwarded.id.clone());
     // The response to a HEAD request has no body.
     if streams && call.forwarded.method != Method::HEAD {
-        tokio::task::spawn_local(relay_stream(call, run, chunks));
+        spawn_relay(shared, id, relay_stream(call, run, chunks));
     } else {
-        tokio::task::spawn_local(relay_body(call, run, chunks));
+        spawn_relay(shared, id, relay_body(call, run, chunks));
     }
     ResponseBody::chunks(body)
 }
 
+fn spawn_relay(shared: Rc<Shared>, id: Option<Rc<str>>, relay: impl Future<Output = ()> + 'static) {
+    let begun = Instant::now();
+    tokio::task::spawn_local(async move {
+        // The caller's body is cut, since its end was not sent.
+        if let Err(cause) = catch_panic(relay).await {
+            log_event!(shared.log, REQUEST_FAILED, "request" => id.as_deref(), "cause" => cause,
+                "ms" => begun.elapsed().as_millis() as u64);
+        }
+    });
+}
+
 /// Relays a body that is no stream of events.
 async fn relay_body(mut call: Call, mut run: Run, chunks: mpsc::Sender<Chunk>) {
     let events = EventSplitter::default();
--- a/crates/serve/tests/components.rs
+++ b/crates/serve/tests/components.rs
@@ -15,7 +15,7 @@
     DomainSums, EndpointList, EventSplitter, Hub, Identity, Limits, LoadChanges, Member,
     MemberState, Members, Node, NodeSettings, Pulse, PulseCrash, PulseCrashes, PulseLimit,
     PulseLimits, PulseLoad, PulseSurvival, PulseVerdict, Route, RouteKind, Service, TableState,
-    Target, explain,
+    Target, catch_panic, explain,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -759,3 +759,34 @@
     expect_that!(failed.is_err(), eq(true));
     expect_that!(hub.ask(|node, _| node.version()), none());
 }
+
+/// A future of a request that panics, and the message that is logged.
+struct Panicking {
+    name: &'static str,
+    run: fn() -> u8,
+    caught: std::result::Result<u8, &'static str>,
+}
+
+#[gtest]
+fn a_panic_in_a_request_is_turned_into_its_message() {
+    let cases = [
+        Panicking { name: "none", run: || 7, caught: Ok(7) },
+        Panicking { name: "text", run: || panic!("plain"), caught: Err("plain") },
+        Panicking { name: "formatted", run: || panic!("key {}", 3), caught: Err("key 3") },
+        Panicking {
+            name: "other",
+            run: || std::panic::panic_any(3),
+            caught: Err("a panic without a message"),
+        },
+    ];
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+    for case in cases {
+        let future = async {
+            tokio::task::yield_now().await;
+            (case.run)()
+        };
+        let caught = runtime.block_on(catch_panic(future));
+        let expected = case.caught.map_err(str::to_owned);
+        expect_that!(caught, eq(&expected), "{}", case.name);
+    }
+}
