--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -7,6 +7,7 @@
 use agatestair_runtime::log_event;
 use bytes::Bytes;
 use http::header::{EXPECT, HOST};
+use http::request::Parts;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::Request;
@@ -17,9 +18,10 @@
 use crate::body::ResponseBody;
 use crate::call::Call;
 use crate::configuration::{Limits, Route, RouteMatch};
-use crate::events::{ABANDONED, ANSWERED, ATTEMPT_FAILED};
+use crate::events::{ABANDONED, ANSWERED, ATTEMPT_FAILED, REQUEST_FAILED};
 use crate::generate::generate;
 use crate::open_requests::OpenRequest;
+use crate::panics::catch_panic;
 use crate::plain::relay_plain;
 use crate::response::{DEFAULT_RETRY_AFTER, Failure, strip_hop_by_hop};
 use crate::send::ForwardedRequest;
@@ -72,8 +74,14 @@
             let serving = serve(&shared, request, facts, arrived, passed_on.clone());
             tokio::select! {
                 biased;
-                outcome = serving => outcome,
-                () = shared.ending.cancelled() => Err((None, interrupted(passed_on.get()))),
+                outcome = catch_panic(serving) => outcome.unwrap_or_else(|cause| {
+                    log_event!(shared.log, REQUEST_FAILED, "request" => id.as_deref(),
+                        "cause" => cause, "ms" => arrived.elapsed().as_millis() as u64);
+                    Err((None, interrupted(passed_on.get(), "the request failed unexpectedly")))
+                }),
+                () = shared.ending.cancelled() => {
+                    Err((None, interrupted(passed_on.get(), "the instance is shutting down")))
+                }
             }
         }
         Err(error) => {
@@ -127,6 +135,10 @@
         RouteMatch::Found { route, service, version } => (route, service, version),
     };
     let (body, _body_guard) = body.map_err(|failure| (Some(route.clone()), failure))?;
+    if head_bytes(&head) > limits.longest_head() {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err((Some(route), Failure::BadRequest(status, "head too large")));
+    }
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
     headers.remove(EXPECT);
@@ -164,9 +176,8 @@
     response.map(|response| (matched, response)).map_err(|failure| (Some(route), failure))
 }
 
-/// Failure of a request without a response when the process is about to exit.
-fn interrupted(passed_on: bool) -> Failure {
-    let cause = "the instance is shutting down";
+/// Failure of a request whose handling has ended early without a response.
+fn interrupted(passed_on: bool, cause: &'static str) -> Failure {
     if passed_on {
         Failure::MayHaveRun(cause.to_owned())
     } else {
@@ -184,6 +195,14 @@
     }
 }
 
+/// Size of a request head, in bytes.
+fn head_bytes(head: &Parts) -> usize {
+    let headers = head.headers.iter();
+    // Each line has a colon, a space and a line break.
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + 4);
+    head.uri.path_and_query().map_or(0, |path| path.as_str().len()) + headers.sum::<usize>()
+}
+
 fn header_text(headers: &HeaderMap, name: &http::HeaderName) -> Option<String> {
     headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`WireFormat`] and a [`StoreClient`] for access to the store; both are plain structs of
 //! functions.
 
+mod activity;
 mod attempt_guard;
 mod awaited;
 mod body;
@@ -37,6 +38,7 @@
 mod open_requests;
 mod outbox;
 mod pacer;
+mod panics;
 mod plain;
 mod pool;
 mod pulse;
@@ -80,6 +82,7 @@
 pub use node::{LimitChange, Node, NodeSettings, Search};
 pub use outbox::LoadChanges;
 pub use pacer::Pacer;
+pub use panics::catch_panic;
 pub use pulse_crashes::{PulseCrash, PulseCrashes, PulseSurvival, PulseVerdict};
 pub use reload::Reload;
 pub use run::{Process, ServeError, Setup};
