Test: a stopping entry's late requests outlast silent endpoints

In agatestair-entry the bound is the request's deadline (Leaving if it lies after the end), so that no guess is in it: completion, stream, idempotent call, call and call with a key, all endpoints silent for 2.4 s, are answered whole, the key runs once, and the exit code is 0.

--- a/crates/entry/tests/shutdown.rs
+++ b/crates/entry/tests/shutdown.rs
@@ -137,6 +137,43 @@
     Ok(())
 }
 
+#[gtest]
+fn requests_taken_during_a_shutdown_outlast_silent_endpoints() -> Result<()> {
+    let mut rig = Rig::start(RigSettings {
+        answer_ms: 3000,
+        patience_ms: 12_000,
+        first_ms: 500,
+        deadline_ms: 6000,
+        call_ms: 6000,
+        ..RigSettings::default()
+    });
+    let address = rig.entry.address;
+    rig.entry.terminate();
+    wait_until("the entry is not ready", || status(address, "/readyz") == Some(503));
+    for endpoint in ["engine0-1", "engine1-1", "ledger0-1", "ledger1-1"] {
+        rig.set_endpoint_faults(endpoint, &json!({"freeze_ms": 2400}));
+    }
+    let caller = |method: &'static str, path, headers: &'static [_], body: String| {
+        thread::spawn(move || send(address, method, path, headers, &body).status)
+    };
+    let key: &[_] = &[("Idempotency-Key", "k")];
+    let callers = [
+        ("completion", caller("POST", "/v1/completions", &[], prompt_body("late", 20, false))),
+        ("idempotent call", caller("GET", PATH, &[], String::new())),
+        ("call", caller("POST", PATH, &[], "body".to_owned())),
+        ("call with a key", caller("POST", PATH, key, "body".to_owned())),
+    ];
+    let mut stream = EventStream::open(address, "silent", 20);
+    expect_that!(stream.read_to_end(), eq(StreamEnd::Complete), "{:?}", stream.error);
+    expect_that!(stream.text, eq(&answer_text(MODEL, "silent", 20)));
+    for (name, caller) in callers {
+        expect_that!(caller.join().expect("caller ends"), eq(200), "{name}");
+    }
+    expect_that!(rig.runs().iter().filter(|run| run.key == "k").count(), eq(1));
+    expect_that!(rig.entry.wait().code(), some(eq(0)));
+    Ok(())
+}
+
 #[gtest]
 fn requests_open_at_the_end_of_a_shutdown_get_a_response() -> Result<()> {
     let mut rig = Rig::start(RigSettings {
