--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -107,7 +107,7 @@
     /// The attempts in progress go on.
     Wait,
     /// The response starts.
-    Respond(AttemptGuard, Box<EndpointResponse>),
+    Respond(Box<(AttemptGuard, EndpointResponse)>),
     /// The request has failed.
     Fail(Failure),
 }
@@ -137,9 +137,10 @@
         }
         match step {
             Step::Again | Step::Wait => {}
-            Step::Respond(guard, response) => {
+            Step::Respond(answer) => {
                 progress.awaited.give_up(&mut call, "another endpoint has answered");
-                return start_stream(call, guard, *response).await;
+                let (guard, response) = *answer;
+                return start_stream(call, guard, response).await;
             }
             Step::Fail(failure) => {
                 let error = progress.error.filter(|_| failure != Failure::TimedOut);
@@ -229,13 +230,13 @@
                 return Step::Wait;
             }
             if !response.status.is_server_error() || !call.route.kind.may_repeat() {
-                return Step::Respond(guard, response);
+                return Step::Respond(Box::new((guard, *response)));
             }
             call.runs += 1;
             call.note_failed(&guard, FailureKind::Failed, "the endpoint failed");
             let again = !progress.awaited.is_promising() && call.may_run_again();
             if !again && alone {
-                return Step::Respond(guard, response);
+                return Step::Respond(Box::new((guard, *response)));
             }
             progress.error = Some((guard, response));
             if again { Step::Again } else { Step::Wait }
