Endpoints that could not be reached are tried again once they can be

Callers saw 504, or a cut stream, although a sound endpoint had been reachable for most of the time that they waited: an endpoint to which no connection could be opened (400 ms) was excluded for the rest of the request, like one that has failed it. When its machine had only stood still for a second or so and the other endpoint hung, nobody was left.

Cause: `tried` held endpoints that were never sent anything.

Such an endpoint is now excluded only while it is unreachable. A request all of whose attempts are silent waits for it; a silent stream considers it at its next search. Budgets of runs and retries are unchanged.

--- a/crates/serve/src/awaited.rs
+++ b/crates/serve/src/awaited.rs
@@ -15,7 +15,7 @@
 use crate::call::{Call, Sending};
 use crate::events::ENDPOINT_RESUMED;
 use crate::node::Search;
-use crate::reach::until_unreachable;
+use crate::reach::{until_reachable, until_unreachable};
 use crate::send::SendOutcome;
 
 /// Multiple of the expected time after which an attempt without a response counts as silent.
@@ -65,6 +65,8 @@
     Sent(Box<Attempt<T>>, SendOutcome),
     /// The latest attempt is silent; the request may be tried elsewhere.
     Silent,
+    /// All attempts are silent, and an endpoint that was not reached before can be.
+    Reachable,
     /// The request's deadline has passed.
     TimedOut,
 }
@@ -114,6 +116,8 @@
                 }
             }
         };
+        let unreached = call.unreached.clone();
+        let waits = !unreached.is_empty() && !self.is_promising() && call.may_repeat();
         let attempts = &mut self.attempts;
         let outcome = poll_fn(|context| {
             for (index, attempt) in attempts.iter_mut().enumerate() {
@@ -131,6 +135,10 @@
                 return News::Sent(Box::new(attempt), sent);
             }
             () = sleep_until(deadline) => return News::TimedOut,
+            () = until_reachable(&shared, &unreached), if waits => {
+                call.readmit();
+                return News::Reachable;
+            }
             cause = silent => cause,
         };
         let latest = self.attempts.last_mut().expect("only an attempt that is awaited is silent");
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -65,6 +65,8 @@
     pub deadline: Instant,
     /// Endpoints that are excluded from further attempts.
     pub tried: Vec<EndpointKey>,
+    /// Those of them that are excluded only until a connection to them can be opened.
+    pub unreached: Vec<EndpointKey>,
     /// Number of times the request was sent to an endpoint.
     pub sends: u32,
     /// Number of attempts that may have executed the request.
@@ -372,6 +374,27 @@
             "ms" => guard.elapsed().as_millis() as u64);
     }
 
+    /// Records an attempt that sent nothing, and excludes its endpoint from further attempts, as long
+    /// as it is unreachable if that is the cause.
+    pub fn note_not_sent(&mut self, guard: &AttemptGuard, cause: &str) {
+        self.note_failed(guard, FailureKind::Broken, cause);
+        let key = guard.placement.key;
+        if self.shared.hub.ask(move |node, _| node.board.is_unreachable(key)) {
+            self.unreached.push(key);
+        }
+    }
+
+    /// Admits the endpoints that can be reached again.
+    pub fn readmit(&mut self) {
+        let known = std::mem::take(&mut self.unreached);
+        let (unreached, reached): (Vec<EndpointKey>, Vec<EndpointKey>) = self
+            .shared
+            .hub
+            .ask(move |node, _| known.into_iter().partition(|key| node.board.is_unreachable(*key)));
+        self.unreached = unreached;
+        self.tried.retain(|key| !reached.contains(key));
+    }
+
     /// Records a failed attempt and excludes its endpoint from further attempts.
     pub fn note_failed(&mut self, guard: &AttemptGuard, kind: FailureKind, cause: &str) {
         self.tried.push(guard.placement.key);
@@ -441,7 +464,7 @@
 pub fn after_failure(call: &mut Call, guard: &AttemptGuard, sent: SendOutcome) -> Option<Failure> {
     match sent {
         SendOutcome::NotSent(cause) => {
-            call.note_failed(guard, FailureKind::Broken, &cause);
+            call.note_not_sent(guard, &cause);
             let again = call.may_connect_again();
             (!again).then(|| not_run(DEFAULT_RETRY_AFTER, "no endpoint can be reached"))
         }
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -192,7 +192,7 @@
     news: News<Option<PromptHandle>>,
 ) -> Step {
     let (attempt, sent) = match news {
-        News::Silent => {
+        News::Silent | News::Reachable => {
             progress.split = false;
             return if call.may_run_again() { Step::Again } else { Step::Wait };
         }
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -146,6 +146,7 @@
         arrived,
         deadline: arrived + timeout,
         tried: Vec::new(),
+        unreached: Vec::new(),
         sends: 0,
         runs: 0,
         not_sent: 0,
--- a/crates/serve/src/reach.rs
+++ b/crates/serve/src/reach.rs
@@ -44,6 +44,20 @@
     }
 }
 
+/// Waits until one of these unreachable endpoints can be reached again.
+pub async fn until_reachable(shared: &Shared, keys: &[EndpointKey]) {
+    loop {
+        let reached = shared.reached.notified();
+        let keys = keys.to_vec();
+        let waits =
+            shared.hub.ask(move |node, _| keys.iter().all(|key| node.board.is_unreachable(*key)));
+        if !waits {
+            return;
+        }
+        reached.await;
+    }
+}
+
 /// Whether a connection error is caused by the remote end or the network, not by this process.
 fn is_remote_failure(error: &io::Error) -> bool {
     use io::ErrorKind::{
@@ -81,6 +95,7 @@
         if let Ok(connection) = Connection::open(address, &ConnectionSettings::default()).await {
             shared.keep_connection(key, connection);
             shared.hub.ask(move |node, _| node.board.note_reachable(key));
+            shared.reached.notify_waiters();
             let name = shared.hub.ask(move |node, _| node.board.name(key));
             log_event!(shared.log, ENDPOINT_REACHABLE, "endpoint" => name.as_deref(),
                 "ms" => begun.elapsed().as_millis() as u64);
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -453,6 +453,7 @@
 
 /// Searches for an endpoint that continues a stream, as far as retries are allowed.
 async fn search(call: &mut Call, position: &Position) -> Option<Run> {
+    call.readmit();
     let mut awaited = Awaited::default();
     awaited.extend(begin_copy(call, position));
     loop {
@@ -463,7 +464,7 @@
             return None;
         }
         match awaited.next(call).await {
-            News::Silent => {}
+            News::Silent | News::Reachable => {}
             News::TimedOut => {
                 awaited.time_out(call);
                 return None;
@@ -529,6 +530,10 @@
             if matches!(sent, SendOutcome::Responded(_) | SendOutcome::Unknown(_)) {
                 call.runs += 1;
             }
+            if let SendOutcome::NotSent(cause) = &sent {
+                call.note_not_sent(&guard, cause);
+                return None;
+            }
             call.note_failed(&guard, FailureKind::Broken, "the stream was not resumed");
             if matches!(sent, SendOutcome::Unknown(_)) {
                 note_broken(call, &guard, None).await;
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -188,6 +188,7 @@
         restored: Notify::new(),
         timeline_malformed: Cell::new(false),
         quarantined: Notify::new(),
+        reached: Notify::new(),
         leaving: CancellationToken::new(),
         closing: CancellationToken::new(),
         ending: CancellationToken::new(),
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -78,6 +78,8 @@
     pub timeline_malformed: Cell<bool>,
     /// Wakes requests in progress when a prompt part is quarantined.
     pub quarantined: Notify,
+    /// Notified when an endpoint that was unreachable can be reached again.
+    pub reached: Notify,
     /// Cancelled when the instance starts to shut down.
     pub leaving: CancellationToken,
     /// Cancelled to close callers' connections once they are idle, and to accept no more.
