A run that is given up as a silent endpoint goes on counts as one

A stream could run more often than its route's maxAttempts allows: its endpoint was silent, another run had begun, the endpoint went on, and the other run was dropped without being counted. At the next silence a third endpoint got the stream.

The attempts of the search are now left to the caller, which gives them up like those after another endpoint has answered: each counts as a run.

--- a/crates/serve/src/awaited.rs
+++ b/crates/serve/src/awaited.rs
@@ -147,7 +147,7 @@
         News::Silent
     }
 
-    /// Gives up the attempts that are left after another one has succeeded.
+    /// Gives up the attempts that are left after another run has gone on.
     pub fn give_up(&mut self, call: &mut Call, cause: &str) {
         for attempt in self.attempts.drain(..) {
             if attempt.silent {
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -352,8 +352,9 @@
     chunks: &mpsc::Sender<Chunk>,
 ) -> Takeover {
     let (shared, position) = (call.shared.clone(), Position::of(run, events));
+    let mut awaited = Awaited::default();
     let searched = {
-        let search = search(call, &position);
+        let search = search(call, &position, &mut awaited);
         tokio::pin!(search);
         loop {
             tokio::select! {
@@ -381,6 +382,7 @@
     let ms = run.progress.elapsed().as_millis() as u64;
     (run.progress, run.alone) = (Instant::now(), true);
     if found {
+        awaited.give_up(call, "the silent endpoint went on");
         log_event!(shared.log, ENDPOINT_RESUMED, "request" => call.forwarded.id.as_deref(),
             "endpoint" => &*run.guard.placement.name, "ms" => ms);
     }
@@ -425,8 +427,9 @@
         note_broken(call, &guard, Some(answering)).await;
         drop(guard);
         events.resume();
+        let mut awaited = Awaited::default();
         let next = tokio::select! {
-            next = search(call, &position) => next,
+            next = search(call, &position, &mut awaited) => next,
             () = chunks.closed() => None,
         };
         if next.is_some() {
@@ -451,10 +454,10 @@
     }
 }
 
-/// Searches for an endpoint that continues a stream, as far as retries are allowed.
-async fn search(call: &mut Call, position: &Position) -> Option<Run> {
+/// Searches for an endpoint that continues a stream, as far as retries are allowed. If this is
+/// cancelled, its attempts are left in `awaited`.
+async fn search(call: &mut Call, position: &Position, awaited: &mut Awaited<()>) -> Option<Run> {
     call.readmit();
-    let mut awaited = Awaited::default();
     awaited.extend(begin_copy(call, position));
     loop {
         if !awaited.is_promising() && call.may_run_again() {
