A failed connection of a caller is logged with its request

What operators saw: nothing. A response that was cut because the caller's connection failed, by a reset or since the kernel gave it up, left event 5022 with its status and no further line: 5030 was of level debug, and named no request.

Event 5030 is of level info, and has the cause of the error, what the connection was doing, for how long, and the last request that it has a response of; 5060 names that request as well. One line for each connection that fails, as with 5024.

--- a/crates/serve/src/activity.rs
+++ b/crates/serve/src/activity.rs
@@ -1,6 +1,6 @@
 //! What callers' connections are doing, and for how long.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -37,21 +37,34 @@
 
 /// Activity of a connection, shared by its stream and the task that serves it.
 #[derive(Clone, Debug)]
-pub struct Activity(Rc<Cell<State>>);
+pub struct Activity(Rc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    state: Cell<State>,
+    /// Identifier of the last request with a response.
+    request: RefCell<Option<Rc<str>>>,
+}
 
 impl Activity {
     /// Activity of a connection that was just accepted under these limits.
     pub fn new(limits: &Limits) -> Self {
         let (since, known) = (Instant::now(), time_limit(limits));
-        Self(Rc::new(Cell::new(State { phase: Phase::Idle, since, known })))
+        let state = Cell::new(State { phase: Phase::Idle, since, known });
+        Self(Rc::new(Inner { state, request: RefCell::default() }))
     }
 
     /// What the connection is doing, and for how long.
     pub fn current(&self) -> (Phase, Duration) {
-        let state = self.0.get();
+        let state = self.0.state.get();
         (state.phase, state.since.elapsed())
     }
 
+    /// Identifier of the last request with a response.
+    pub fn request(&self) -> Option<Rc<str>> {
+        self.0.request.borrow().clone()
+    }
+
     /// Marks the connection as busy until the guard is dropped.
     pub fn begin(&self) -> BusyGuard {
         self.enter(Phase::Busy);
@@ -60,7 +73,7 @@
 
     /// Restarts the time of the current phase.
     pub fn restart(&self) {
-        self.enter(self.0.get().phase);
+        self.enter(self.0.state.get().phase);
     }
 
     /// Waits until the connection is without a request for longer than the limits allow: both those
@@ -78,23 +91,23 @@
 
     fn deadline(&self, shared: &Shared) -> Instant {
         let limits = shared.hub.ask(|node, _| node.limits());
-        let State { phase, since, known } = self.0.get();
+        let State { phase, since, known } = self.0.state.get();
         let begun = if phase == Phase::Busy { Instant::now() } else { since };
         begun + time_limit(&limits).max(known)
     }
 
     fn enter(&self, phase: Phase) {
-        self.0.set(State { phase, since: Instant::now(), ..self.0.get() });
+        self.0.state.set(State { phase, since: Instant::now(), ..self.0.state.get() });
     }
 
     fn note_read(&self) {
-        if self.0.get().phase == Phase::Idle {
+        if self.0.state.get().phase == Phase::Idle {
             self.enter(Phase::Head);
         }
     }
 
     fn note_written(&self) {
-        if self.0.get().phase == Phase::Idle {
+        if self.0.state.get().phase == Phase::Idle {
             self.restart();
         }
     }
@@ -113,9 +126,14 @@
 impl BusyGuard {
     /// Records the limits that the caller may know from now on.
     pub fn note_limits(&self, limits: &Limits) {
-        let cell = &self.0.0;
+        let cell = &self.0.0.state;
         cell.set(State { known: time_limit(limits), ..cell.get() });
     }
+
+    /// Records the request that has a response.
+    pub fn note_request(&self, id: Option<Rc<str>>) {
+        *self.0.0.request.borrow_mut() = id;
+    }
 }
 
 impl Drop for BusyGuard {
--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -89,6 +89,7 @@
 
     /// Keeps the caller's connection busy as long as the body.
     pub fn hold_connection(&mut self, connection: BusyGuard) {
+        connection.note_request(self.request.as_ref().and_then(RequestGuard::id));
         self.connection = Some(connection);
     }
 }
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -75,7 +75,7 @@
     Event { number: 5029, level: Level::Info, text: "cannot list engine cache" };
 /// A caller's connection failed.
 pub const CONNECTION_FAILED: Event =
-    Event { number: 5030, level: Level::Debug, text: "caller's connection failed" };
+    Event { number: 5030, level: Level::Info, text: "caller's connection failed" };
 /// A connection could not be accepted.
 pub const ACCEPT_FAILED: Event =
     Event { number: 5031, level: Level::Warning, text: "cannot accept connections" };
--- a/crates/serve/src/open_requests.rs
+++ b/crates/serve/src/open_requests.rs
@@ -53,6 +53,13 @@
     key: RequestKey,
 }
 
+impl RequestGuard {
+    /// Identifier of the caller's attempt, if given.
+    pub fn id(&self) -> Option<Rc<str>> {
+        self.open.requests.borrow().get(self.key).and_then(|request| request.id.clone())
+    }
+}
+
 impl fmt::Debug for RequestGuard {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("RequestGuard").field("key", &self.key).finish_non_exhaustive()
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::error::Error;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -331,6 +332,7 @@
                 if closing || phase == Phase::Head {
                     let phase = format!("{phase:?}");
                     log_event!(shared.log, CALLER_TOO_SLOW, "phase" => phase,
+                        "request" => activity.request().as_deref(),
                         "ms" => time.as_millis() as u64);
                     return;
                 }
@@ -341,7 +343,10 @@
         Pin::new(&mut connection).graceful_shutdown();
     };
     let Err(error) = ended else { return };
-    log_event!(shared.log, CONNECTION_FAILED, "error" => error.to_string());
+    let (phase, time) = activity.current();
+    log_event!(shared.log, CONNECTION_FAILED, "error" => describe(&error),
+        "phase" => format!("{phase:?}"), "request" => activity.request().as_deref(),
+        "ms" => time.as_millis() as u64);
     if error.is_user() && version.get() < Version::HTTP_11 {
         // Such a caller takes a connection that is closed in good order for the end of its response.
         let stream = connection.into_parts().io.into_inner().into_inner();
@@ -351,6 +356,14 @@
     }
 }
 
+/// An error with its cause, which tells a caller that closed from one that fell silent.
+fn describe(error: &hyper::Error) -> String {
+    match error.source() {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
+    }
+}
+
 async fn dispatch(
     shared: Rc<Shared>,
     request: Request<Incoming>,
