An instance whose first write of its row meets a restore writes it again

What an operator saw: the row of an instance stayed lost after the store had been restored from a copy within milliseconds of the row's first write; others did not learn of the instance from the store.

Cause: the timeline in which the row was written was asked for after the rows of the others had been read. If the restore came between the write and that reading, the row counted as written in the new timeline. The response to the write names its timeline itself.

--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -39,7 +39,7 @@
 use crate::reload::{Reload, retry_settings, watch_settings};
 use crate::shared::{Listener, Shared, TableWakeups, accept};
 use crate::shutdown::{Shutdown, shut_down};
-use crate::store::{StoreClient, StoreError, Table, Transaction};
+use crate::store::{Reply, StoreClient, StoreError, Table, Transaction};
 use crate::watch::follow;
 use crate::wire::WireFormat;
 
@@ -288,8 +288,7 @@
 /// Joins the other instances, and writes the own row again whenever a restore of the store has lost
 /// it.
 async fn keep_row(shared: Rc<Shared>, own: Member, socket: Rc<UdpSocket>) {
-    let mut known = shared.timeline();
-    join(shared.clone(), own.clone(), socket).await;
+    let mut known = join(shared.clone(), own.clone(), socket).await;
     loop {
         known = known.or(shared.timeline());
         shared.until_restored(known).await;
@@ -306,28 +305,35 @@
 
 /// Writes the own row if the store does not have it.
 async fn check_row(shared: &Shared, own: &Member) -> Result<(), StoreError> {
-    if read_members(shared, own).await? {
+    let (written, _) = read_members(shared, own).await?;
+    if written {
         return Ok(());
     }
     log_event!(shared.log, ROW_LOST, "timeline" => shared.timeline());
-    register(shared, own).await
+    register(shared, own).await.map(drop)
 }
 
-/// Writes this instance's row to the store, reads the rows of the others and sends them hellos.
-async fn join(shared: Rc<Shared>, own: Member, socket: Rc<UdpSocket>) {
+/// Writes this instance's row to the store, reads the rows of the others and sends them hellos; returns
+/// the timeline of the store that has the row.
+async fn join(shared: Rc<Shared>, own: Member, socket: Rc<UdpSocket>) -> Option<u64> {
     let mut pause = ROW_PAUSE;
     if shared.settings().bootstrap {
         sleep(ROW_SPREAD.mul_f64(rand::rng().random::<f64>())).await;
-    } else if let Ok(true) = read_members(&shared, &own).await {
+    } else if let Ok((true, timeline)) = read_members(&shared, &own).await {
         // The row of the previous process has the same addresses.
-        return send_hellos(&shared, &socket).await;
+        send_hellos(&shared, &socket).await;
+        return timeline;
     }
-    while let Err(error) = register(&shared, &own).await {
-        log_event!(shared.log, ROW_WRITE_FAILED, "error" => error.to_string());
+    let timeline = loop {
+        match register(&shared, &own).await {
+            Ok(timeline) => break timeline,
+            Err(error) => log_event!(shared.log, ROW_WRITE_FAILED, "error" => error.to_string()),
+        }
         sleep(pause).await;
         pause = (pause * 2).min(MAX_ROW_PAUSE);
-    }
+    };
     send_hellos(&shared, &socket).await;
+    timeline
 }
 
 async fn send_hellos(shared: &Shared, socket: &UdpSocket) {
@@ -337,8 +343,8 @@
     }
 }
 
-/// Writes the own row, then reads the rows of the others.
-async fn register(shared: &Shared, own: &Member) -> Result<(), StoreError> {
+/// Writes the own row, then reads the rows of the others; returns the timeline in which it was written.
+async fn register(shared: &Shared, own: &Member) -> Result<Option<u64>, StoreError> {
     let value = serde_json::to_vec(own).expect("names and addresses serialize to JSON");
     let transaction = Transaction {
         table: Table::Instances,
@@ -347,14 +353,25 @@
         removals: Vec::new(),
     };
     shared.row_unsure.set(true);
-    shared.settle((shared.store.commit)(transaction).await)?;
+    let reply = (shared.store.commit)(transaction).await;
+    let timeline = named(&reply);
+    shared.settle(reply)?;
     shared.row_unsure.set(false);
-    read_members(shared, own).await.map(drop)
+    read_members(shared, own).await?;
+    Ok(timeline)
+}
+
+/// Timeline that a response of the store names.
+fn named<T>(reply: &Reply<T>) -> Option<u64> {
+    reply.timeline.as_ref().and_then(|named| named.as_ref().ok()).copied()
 }
 
-/// Reads the rows of the other instances; returns whether the own row exists and is up to date.
-async fn read_members(shared: &Shared, own: &Member) -> Result<bool, StoreError> {
-    let rows = shared.settle((shared.store.read)(Table::Instances).await)?;
+/// Reads the rows of the other instances; returns whether the own row exists and is up to date, and the
+/// timeline of the store that was read.
+async fn read_members(shared: &Shared, own: &Member) -> Result<(bool, Option<u64>), StoreError> {
+    let reply = (shared.store.read)(Table::Instances).await;
+    let timeline = named(&reply);
+    let rows = shared.settle(reply)?;
     let mut written = false;
     for row in rows.rows {
         let Some(value) = row.value else { continue };
@@ -371,7 +388,7 @@
                 "row" => &*row.key, "error" => error.to_string()),
         }
     }
-    Ok(written)
+    Ok((written, timeline))
 }
 
 async fn sweep(shared: Rc<Shared>) {
