A run that broke during a handover is not read again, and its end is logged

Found by reading the diff. If the silent run broke in the 0.2 s in which it is kept beside the one that takes over, its error was dropped without a line and a crash was not noted. The cause is kept now, and a broken run is left alone. By reading, no test of its own; silence, broken_streams, streams and runners_that_fail_after_a_silence pass.

--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -396,8 +396,9 @@
 ) -> Takeover {
     let (shared, position) = (call.shared.clone(), Position::of(run, events));
     let (backup, runs) = (call.backup, call.runs);
+    // A run that has broken is not read again: its body would seem to end in good order.
+    let mut broken = None;
     let part = loop {
-        let mut broken = None;
         let next = {
             let search = search(call, &position);
             tokio::pin!(search);
@@ -414,22 +415,27 @@
                 }
             }
         };
-        match (next, broken) {
-            (Ok(next), None) => match hand_over(&shared, run, next, events, buffer, chunks).await {
-                Handover::Same(part) => break part,
-                Handover::Moved(next, part) => return Takeover::Moved(next, part, None),
-                Handover::Failed(next, cause) => {
-                    call.note_failed(&next.guard, FailureKind::Broken, &cause);
-                    call.backup = None;
-                }
-                Handover::CallerGone => return Takeover::Ended(Stop::CallerGone),
-            },
-            (Ok(next), broken) => {
+        match next {
+            Ok(next) if broken.is_some() => {
                 events.resume();
                 return Takeover::Moved(Box::new(next), Part::Incomplete, broken);
             }
-            (Err(_), Some(stop)) => return Takeover::Ended(stop),
-            (Err(part), None) => break part,
+            Ok(next) => {
+                let states = (&mut *events, &mut *buffer);
+                match hand_over(&shared, run, next, states, &mut broken, chunks).await {
+                    Handover::Same(part) => break part,
+                    Handover::Moved(next, part) => return Takeover::Moved(next, part, broken),
+                    Handover::Failed(next, cause) => {
+                        call.note_failed(&next.guard, FailureKind::Broken, &cause);
+                        call.backup = None;
+                    }
+                    Handover::CallerGone => return Takeover::Ended(Stop::CallerGone),
+                }
+            }
+            Err(part) => match broken {
+                Some(stop) => return Takeover::Ended(stop),
+                None => break part,
+            },
         }
     };
     if !matches!(part, Part::Incomplete) {
@@ -447,13 +453,13 @@
 }
 
 /// Keeps a silent run for a short time beside the one that takes its stream over, in case that one
-/// fails at once.
+/// fails at once; `broken` tells why the silent one broke meanwhile, if it did.
 async fn hand_over(
     shared: &Rc<Shared>,
     run: &mut Run,
     next: Run,
-    events: &mut EventSplitter,
-    buffer: &mut BufferGuard,
+    (events, buffer): (&mut EventSplitter, &mut BufferGuard),
+    broken: &mut Option<Stop>,
     chunks: &mpsc::Sender<Chunk>,
 ) -> Handover {
     let mut next = Box::new(next);
@@ -461,30 +467,25 @@
     next_events.resume();
     let mut next_buffer = BufferGuard::new(&shared.buffer_limit);
     let end = Instant::now() + HANDOVER;
-    let mut broken = false;
-    loop {
+    let part = loop {
         tokio::select! {
             biased;
             part = read(shared, &mut next, &mut next_events, &mut next_buffer) => match part {
                 Ok(Part::Incomplete) => {}
-                Ok(part) => {
-                    (*events, *buffer) = (next_events, next_buffer);
-                    return Handover::Moved(next, part);
-                }
-                Err(_) if broken => break,
+                Ok(part) => break part,
                 Err(stop) => return Handover::Failed(next, stop.describe().1),
             },
-            part = read(shared, run, events, buffer), if !broken => match part {
+            part = read(shared, run, events, buffer), if broken.is_none() => match part {
                 Ok(Part::Incomplete) => {}
                 Ok(part) => return Handover::Same(part),
-                Err(_) => broken = true,
+                Err(stop) => *broken = Some(stop),
             },
-            () = sleep_until(end) => break,
+            () = sleep_until(end) => break Part::Incomplete,
             () = chunks.closed() => return Handover::CallerGone,
         }
-    }
+    };
     (*events, *buffer) = (next_events, next_buffer);
-    Handover::Moved(next, Part::Incomplete)
+    Handover::Moved(next, part)
 }
 
 fn log_complete(call: &Call, guard: &AttemptGuard, framing: Framing, events: &EventSplitter) {
