--- a/crates/serve/src/attempt_guard.rs
+++ b/crates/serve/src/attempt_guard.rs
@@ -25,6 +25,11 @@
         Self { load: placement.load, placement, shared, begun: Instant::now() }
     }
 
+    /// State of the instance.
+    pub fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
     /// Time since the attempt began.
     pub fn elapsed(&self) -> Duration {
         self.begun.elapsed()
--- a/crates/serve/src/awaited.rs
+++ b/crates/serve/src/awaited.rs
@@ -4,6 +4,7 @@
 //! the request is tried elsewhere, and given up only once another endpoint has answered.
 
 use std::future::{pending, poll_fn};
+use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 
 use crate::attempt_guard::AttemptGuard;
 use crate::call::{Call, Sending};
-use crate::events::ENDPOINT_RESUMED;
+use crate::events::{ATTEMPT_DROPPED, ENDPOINT_RESUMED};
 use crate::node::{Backup, Search};
 use crate::reach::until_unreachable;
 use crate::send::SendOutcome;
@@ -43,6 +44,8 @@
     /// What must live as long as the attempt.
     pub held: T,
     sending: Sending,
+    /// Identifier of the request, for the log.
+    id: Option<Rc<str>>,
     /// When the attempt counts as silent.
     limit: Instant,
     silent: bool,
@@ -60,7 +63,8 @@
     ) -> Self {
         let limit = Instant::now() + response_limit(call, &guard);
         call.runs += 1;
-        Self { guard, search, held, sending, limit, silent: false }
+        let id = call.forwarded.id.clone();
+        Self { guard, search, held, sending, id, limit, silent: false }
     }
 
     /// Engine that replicates the KV cache of the run.
@@ -161,11 +165,10 @@
 
     /// Gives up the attempts that are left after another one has succeeded.
     pub fn give_up(&mut self, call: &mut Call, cause: &str) {
-        for attempt in self.attempts.drain(..) {
-            if attempt.silent {
-                call.note_failed(&attempt.guard, FailureKind::Broken, cause);
-            }
+        for attempt in self.attempts.extract_if(.., |attempt| attempt.silent) {
+            call.note_failed(&attempt.guard, FailureKind::Broken, cause);
         }
+        self.attempts.drain(..).for_each(|attempt| log_dropped(&attempt));
     }
 
     /// Gives up the attempts that are left after the request's deadline.
@@ -176,6 +179,19 @@
     }
 }
 
+impl<T> Drop for Awaited<T> {
+    fn drop(&mut self) {
+        self.attempts.iter().for_each(log_dropped);
+    }
+}
+
+fn log_dropped<T>(attempt: &Attempt<T>) {
+    let guard = &attempt.guard;
+    log_event!(guard.shared().log, ATTEMPT_DROPPED, "request" => attempt.id.as_deref(),
+        "endpoint" => &*guard.placement.name, "silent" => attempt.silent,
+        "ms" => guard.elapsed().as_millis() as u64);
+}
+
 /// Takes the outcome of an attempt into account, which is not counted as a run any more.
 fn note_outcome<T>(call: &mut Call, attempt: &Attempt<T>, sent: &SendOutcome) {
     call.runs -= 1;
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -160,6 +160,10 @@
 /// An endpoint that was silent has answered after all.
 pub const ENDPOINT_RESUMED: Event =
     Event { number: 5057, level: Level::Info, text: "silent endpoint went on" };
+/// An attempt without a response is given up, since another endpoint has answered or the caller has
+/// left.
+pub const ATTEMPT_DROPPED: Event =
+    Event { number: 5058, level: Level::Info, text: "attempt given up" };
 /// A caller did not send the rest of a head, or did not take a response, within the time limit.
 pub const CALLER_TOO_SLOW: Event =
     Event { number: 5060, level: Level::Info, text: "caller too slow, connection closed" };
@@ -222,6 +226,7 @@
     TIMELINE_MALFORMED,
     ENDPOINT_SILENT,
     ENDPOINT_RESUMED,
+    ATTEMPT_DROPPED,
     CALLER_TOO_SLOW,
     REQUEST_FAILED,
 ];
