--- a/review/standins/case5.rs
+++ b/review/standins/case5.rs
@@ -41,8 +41,9 @@
 /// What the runners share with the scenario.
 struct Runners {
     record: Record,
-    /// Long streams that a sound runner has begun.
+    /// Long streams that a sound runner has begun, and those that a faulty one has.
     begun: Mutex<HashSet<String>>,
+    begun_faulty: Mutex<HashSet<String>>,
     /// Number of answers of the faulty runners.
     answers: AtomicU32,
     trouble: bool,
@@ -58,8 +59,9 @@
             self.record
                 .line(format!("runner {name} begins {id} after event {}", last.unwrap_or(0)));
         }
-        if long && !faulty {
-            self.begun.lock().expect("no holder panics").insert(id.clone());
+        if long {
+            let begun = if faulty { &self.begun_faulty } else { &self.begun };
+            begun.lock().expect("no holder panics").insert(id.clone());
         }
         let spoilt = faulty && self.trouble && {
             let number = self.answers.fetch_add(1, Ordering::Relaxed);
@@ -114,6 +116,7 @@
     let runners = Arc::new(Runners {
         record: record.clone(),
         begun: Mutex::default(),
+        begun_faulty: Mutex::default(),
         answers: AtomicU32::new(0),
         trouble,
     });
@@ -158,7 +161,10 @@
         match stream.join().map_err(|_| "a client failed".to_owned())? {
             Ok((_, response)) if response.status == 200 && response.complete => whole += 1,
             Ok((id, response)) if response.status == 200 => {
-                let sound = runners.begun.lock().expect("no holder panics").contains(&id);
+                let has = |begun: &Mutex<HashSet<String>>| {
+                    begun.lock().expect("no holder panics").contains(&id)
+                };
+                let sound = has(&runners.begun) && !has(&runners.begun_faulty);
                 closed += usize::from(sound);
                 record.line(format!(
                     "client of {id}: the connection is closed after {} bytes of a stream; {}",
