Split relay.rs: runs of a stream, takeover, search

No change of behaviour. The decision which of two runs of a stream goes on stands in relay/takeover.rs, the search for the next one in relay/search.rs.

--- /dev/null
+++ b/crates/serve/src/relay/takeover.rs
@@ -0,0 +1,147 @@
+//! Moves the stream of a silent run to another endpoint.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use agatestair_policy::board::FailureKind;
+use agatestair_runtime::log_event;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until};
+
+use super::run::{Part, Run, Stop, read};
+use super::search::{Position, search};
+use crate::body::Chunk;
+use crate::buffer_limit::BufferGuard;
+use crate::call::Call;
+use crate::events::ENDPOINT_RESUMED;
+use crate::shared::Shared;
+use crate::stream::EventSplitter;
+
+/// Longest time for which a silent run is kept beside the one that takes its stream over.
+const HANDOVER: Duration = Duration::from_millis(200);
+
+/// What follows the silence of a run.
+pub enum Takeover {
+    /// The run goes on, with this part.
+    Same(Part),
+    /// The stream continues with another run, which has yielded this part; why the silent one broke
+    /// meanwhile, if it did.
+    Moved(Box<Run>, Part, Option<Stop>),
+    /// The run has ended while another one was searched for.
+    Ended(Stop),
+}
+
+/// What became of a run that took a stream over.
+enum Handover {
+    /// The silent run has yielded a part before.
+    Same(Part),
+    /// It continues the stream, from this part on.
+    Moved(Box<Run>, Part),
+    /// It has failed.
+    Failed(Box<Run>, String),
+    /// The caller disconnected.
+    CallerGone,
+}
+
+/// Searches for an endpoint that continues the stream of a silent run. The run is kept until another
+/// one continues the stream, and goes on if it yields an event before.
+pub async fn take_over(
+    call: &mut Call,
+    run: &mut Run,
+    events: &mut EventSplitter,
+    buffer: &mut BufferGuard,
+    chunks: &mpsc::Sender<Chunk>,
+) -> Takeover {
+    let (shared, position) = (call.shared.clone(), Position::of(run, events));
+    let (backup, runs) = (call.backup, call.runs);
+    // A run that has broken is not read again: its body would seem to end in good order.
+    let mut broken = None;
+    let part = loop {
+        let next = {
+            let search = search(call, &position);
+            tokio::pin!(search);
+            loop {
+                tokio::select! {
+                    biased;
+                    part = read(&shared, run, events, buffer), if broken.is_none() => match part {
+                        Ok(Part::Incomplete) => {}
+                        Ok(part) => break Err(part),
+                        Err(stop) => broken = Some(stop),
+                    },
+                    next = &mut search => break next.ok_or(Part::Incomplete),
+                    () = chunks.closed() => return Takeover::Ended(Stop::CallerGone),
+                }
+            }
+        };
+        match next {
+            Ok(next) if broken.is_some() => {
+                events.resume();
+                return Takeover::Moved(Box::new(next), Part::Incomplete, broken);
+            }
+            Ok(next) => {
+                let states = (&mut *events, &mut *buffer);
+                match hand_over(&shared, run, next, states, &mut broken, chunks).await {
+                    Handover::Same(part) => break part,
+                    Handover::Moved(next, part) => return Takeover::Moved(next, part, broken),
+                    Handover::Failed(next, cause) => {
+                        call.note_failed(&next.guard, FailureKind::Broken, &cause);
+                        call.backup = None;
+                    }
+                    Handover::CallerGone => return Takeover::Ended(Stop::CallerGone),
+                }
+            }
+            Err(part) => match broken {
+                Some(stop) => return Takeover::Ended(stop),
+                None => break part,
+            },
+        }
+    };
+    if !matches!(part, Part::Incomplete) {
+        log_event!(shared.log, ENDPOINT_RESUMED, "request" => call.forwarded.id.as_deref(),
+            "endpoint" => &*run.guard.placement.name,
+            "ms" => run.progress.elapsed().as_millis() as u64);
+    }
+    call.retry_spared();
+    if call.runs == runs {
+        // No other engine has used the copy.
+        call.backup = backup;
+    }
+    (run.progress, run.alone) = (Instant::now(), true);
+    Takeover::Same(part)
+}
+
+/// Keeps a silent run for a short time beside the one that takes its stream over, in case that one
+/// fails at once; `broken` tells why the silent one broke meanwhile, if it did.
+async fn hand_over(
+    shared: &Rc<Shared>,
+    run: &mut Run,
+    next: Run,
+    (events, buffer): (&mut EventSplitter, &mut BufferGuard),
+    broken: &mut Option<Stop>,
+    chunks: &mpsc::Sender<Chunk>,
+) -> Handover {
+    let mut next = Box::new(next);
+    let mut next_events = events.clone();
+    next_events.resume();
+    let mut next_buffer = BufferGuard::new(&shared.buffer_limit);
+    let end = Instant::now() + HANDOVER;
+    let part = loop {
+        tokio::select! {
+            biased;
+            part = read(shared, &mut next, &mut next_events, &mut next_buffer) => match part {
+                Ok(Part::Incomplete) => {}
+                Ok(part) => break part,
+                Err(stop) => return Handover::Failed(next, stop.describe().1),
+            },
+            part = read(shared, run, events, buffer), if broken.is_none() => match part {
+                Ok(Part::Incomplete) => {}
+                Ok(part) => return Handover::Same(part),
+                Err(stop) => *broken = Some(stop),
+            },
+            () = sleep_until(end) => break Part::Incomplete,
+            () = chunks.closed() => return Handover::CallerGone,
+        }
+    };
+    (*events, *buffer) = (next_events, next_buffer);
+    Handover::Moved(next, part)
+}
