A stream is never worked on by two endpoints for long

A stream whose engine stands still goes on at the engine with its copy; while that one's answer is lost, both work on it until the first one goes on.

Cause: a silent run was kept for as long as the search waited for the head of another endpoint; the 0.2 s of the handover counted from that head only. So did two attempts to continue a broken stream, of which the first was silent. A run that broke during a takeover because of what it sent kept its connection open until another one had answered.

Change: an attempt that continues a stream is withdrawn (event 5062) unless its head arrives within 0.3 s after it was written, while another endpoint may work on the stream; the silent run goes on, and the copy may be asked again. The handover ends with the same time. A run that breaks is closed at once. Event 5023 says how long the head took.

Why it works: what is known of an attempt before its head is when it was written, so the time counts from there, whatever the other endpoint does. The one that is given up is the one that has not shown anything, so that silence ends no answer.

--- a/crates/serve/src/awaited.rs
+++ b/crates/serve/src/awaited.rs
@@ -32,6 +32,9 @@
 /// Shortest time without a response before a probe.
 const MIN_PROBE_DELAY: Duration = Duration::from_millis(250);
 
+/// Time after which it is checked again whether another endpoint works on the stream.
+const RECHECK: Duration = Duration::from_millis(50);
+
 /// Shortest time between two searches for another endpoint while all attempts are silent.
 const MIN_SEARCH_PAUSE: Duration = Duration::from_millis(250);
 
@@ -48,6 +51,9 @@
     id: Option<Rc<str>>,
     /// When the attempt counts as silent.
     limit: Instant,
+    /// Time after the request was written in which the response must begin while another endpoint
+    /// works on the same stream.
+    overlap: Option<Duration>,
     silent: bool,
 }
 
@@ -64,7 +70,17 @@
         let limit = Instant::now() + response_limit(call, &guard);
         call.runs += 1;
         let id = call.forwarded.id.clone();
-        Self { guard, search, held, sending, id, limit, silent: false }
+        Self { guard, search, held, sending, id, limit, overlap: None, silent: false }
+    }
+
+    /// Limits the time in which the attempt may work on a stream beside another endpoint.
+    pub fn limit_overlap(self, overlap: Duration) -> Self {
+        Self { overlap: Some(overlap), ..self }
+    }
+
+    /// When the time that [`Attempt::limit_overlap`] allows is over.
+    pub fn overlap_end(&self) -> Option<Instant> {
+        Some(self.sending.written.get()? + self.overlap?)
     }
 
     /// Engine that replicates the KV cache of the run.
@@ -80,6 +96,8 @@
     /// All attempts are silent, the latest one since now or for a while; the request may be tried
     /// elsewhere.
     Silent,
+    /// The latest attempt was given up, since another endpoint may work on the same stream.
+    Withdrawn,
     /// The request's deadline has passed.
     TimedOut,
 }
@@ -114,7 +132,28 @@
     /// Waits for the next outcome, or until the latest attempt is silent although the request may run
     /// elsewhere.
     pub async fn next(&mut self, call: &mut Call) -> News<T> {
+        self.next_beside(call, || false).await
+    }
+
+    /// Like [`Awaited::next`] while a run of the stream that is not one of the attempts may go on:
+    /// also waits until the latest attempt has worked beside it, or beside an earlier attempt, for as
+    /// long as it may. `at_work` tells whether there is such a run.
+    pub async fn next_beside(&mut self, call: &mut Call, at_work: impl Fn() -> bool) -> News<T> {
         let deadline = call.deadline;
+        let others = self.attempts.len() > 1;
+        let overlap = self
+            .attempts
+            .last()
+            .and_then(|attempt| Some((attempt.overlap?, attempt.sending.written.clone())));
+        let overdue = async {
+            let Some((overlap, written)) = overlap else { return pending().await };
+            // The attempt that writes the request is polled by this task, too.
+            let written = poll_fn(|_| written.get().map_or(Poll::Pending, Poll::Ready)).await;
+            sleep_until(written + overlap).await;
+            while !others && !at_work() {
+                sleep(RECHECK).await;
+            }
+        };
         let (shared, may_move) = (call.shared.clone(), call.may_repeat());
         let latest = self.attempts.last().filter(|attempt| !attempt.silent && may_move);
         let latest = latest.map(|attempt| {
@@ -154,6 +193,12 @@
                 return News::Sent(Box::new(attempt), sent);
             }
             () = sleep_until(deadline) => return News::TimedOut,
+            () = overdue => {
+                if let Some(Attempt { guard, search, .. }) = self.attempts.pop() {
+                    call.note_withdrawn(&guard, search);
+                }
+                return News::Withdrawn;
+            }
             cause = silent => cause,
         };
         if let (Some(cause), Some(latest)) = (silence, self.attempts.last_mut()) {
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -15,12 +15,12 @@
 use crate::attempt_guard::AttemptGuard;
 use crate::configuration::{Route, Service};
 use crate::events::{
-    ATTEMPT_FAILED, ATTEMPT_WITHHELD, ENDPOINT_EJECTED, ENDPOINT_SILENT, NOT_PLACED, PART_TRIED,
-    PLACED,
+    ATTEMPT_FAILED, ATTEMPT_WITHDRAWN, ATTEMPT_WITHHELD, ENDPOINT_EJECTED, ENDPOINT_SILENT,
+    NOT_PLACED, PART_TRIED, PLACED,
 };
 use crate::node::{Backup, BegunKey, Placement, Search};
 use crate::response::{DEFAULT_RETRY_AFTER, Failure, not_run, not_run_within};
-use crate::send::{ForwardedRequest, SendOutcome, build_request, send};
+use crate::send::{ForwardedRequest, SendOutcome, Written, build_request, send};
 use crate::shared::Shared;
 use crate::wire::{CallFacts, Outbound, Phase};
 
@@ -93,6 +93,8 @@
     pub outcome: Pin<Box<dyn Future<Output = SendOutcome>>>,
     /// Engine that replicates the KV cache of the run.
     pub backup: Option<Backup>,
+    /// When the request was written.
+    pub written: Written,
 }
 
 /// Counts a request with a placed attempt until it is dropped.
@@ -304,8 +306,9 @@
         }
         let request = build_request(&self.shared, &self.forwarded, &outbound);
         let (shared, id) = (self.shared.clone(), self.forwarded.id.clone());
-        let outcome = Box::pin(send(shared, guard.placement.clone(), id, request));
-        Sending { outcome, backup }
+        let written = Written::default();
+        let sending = send(shared, guard.placement.clone(), id, request, written.clone());
+        Sending { outcome: Box::pin(sending), backup, written }
     }
 
     /// Counts a request that was sent, or that an endpoint has refused.
@@ -364,6 +367,19 @@
             "ms" => guard.elapsed().as_millis() as u64);
     }
 
+    /// Counts an attempt that was given up before its response, although it may run the request.
+    pub fn note_withdrawn(&mut self, guard: &AttemptGuard, search: Search) {
+        self.sends += 1;
+        if !matches!(search, Search::Copy(_)) {
+            self.tried.push(guard.placement.key);
+        }
+        metrics::counter!("agatestair_serve_withdrawn_total").increment(1);
+        log_event!(self.shared.log, ATTEMPT_WITHDRAWN, "request" => self.forwarded.id.as_deref(),
+            "endpoint" => &*guard.placement.name, "search" => search.label(),
+            "sends" => self.sends, "left_ms" => self.remaining().as_millis() as u64,
+            "ms" => guard.elapsed().as_millis() as u64);
+    }
+
     /// Records an attempt without a response.
     pub fn note_unanswered(&mut self, guard: &AttemptGuard, sent: &SendOutcome) {
         match sent {
--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -60,7 +60,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     limit: ReadLimit,
-    _task: TaskGuard,
+    task: TaskGuard,
     idle_limit: Duration,
     last_used: Instant,
     retired: bool,
@@ -102,7 +102,7 @@
         Ok(Self {
             sender,
             limit,
-            _task: TaskGuard(task),
+            task: TaskGuard(task),
             idle_limit,
             last_used: Instant::now(),
             retired: false,
@@ -142,6 +142,12 @@
         self.retired = true;
     }
 
+    /// Closes the connection, which ends the request on it.
+    pub fn close(&mut self) {
+        self.retired = true;
+        self.task.0.abort();
+    }
+
     /// Whether the connection can be used for another request.
     pub fn is_usable(&self) -> bool {
         !self.retired && self.sender.is_ready() && self.last_used.elapsed() < self.idle_limit
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -202,6 +202,7 @@
             }
             return Step::Wait;
         }
+        News::Withdrawn => return Step::Wait,
         News::TimedOut => {
             call.note_duration();
             progress.awaited.time_out(call);
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -227,11 +227,11 @@
         drop(guard);
         events.resume();
         let next = tokio::select! {
-            next = search(call, &position) => next,
+            found = search(call, &position, || false) => found,
             () = chunks.closed() => None,
         };
-        if next.is_some() {
-            return next;
+        if let Some(found) = next {
+            return Some(found.run);
         }
     }
     log_stop(call, end, &cause, events);
--- a/crates/serve/src/relay/search.rs
+++ b/crates/serve/src/relay/search.rs
@@ -1,8 +1,11 @@
 //! Searches for an endpoint that continues a stream.
 
+use std::time::Duration;
+
 use agatestair_policy::board::FailureKind;
 use agatestair_runtime::log_event;
 use http::{HeaderMap, StatusCode};
+use tokio::time::Instant;
 
 use super::run::{EVENT_STREAM, Run, media_type};
 use crate::awaited::{Attempt, Awaited, News};
@@ -14,6 +17,21 @@
 use crate::stream::EventSplitter;
 use crate::wire::{HandleName, Phase};
 
+/// Time after an attempt was sent in which it may work on a stream beside another endpoint. The
+/// platform allows 400 ms; the rest is for closing the connection of the one that is given up.
+const OVERLAP: Duration = Duration::from_millis(300);
+
+/// Fraction of the expected time to its first event in which a new run does not work on the stream
+/// yet, since the endpoint reads the prompt.
+const READING_SHARE: f64 = 0.5;
+
+/// A run that may continue a stream.
+pub struct Found {
+    pub run: Run,
+    /// Until when another endpoint may work on the stream beside it.
+    pub until: Instant,
+}
+
 /// Where a stream continues at another endpoint.
 pub struct Position {
     /// Identifier of the last complete event.
@@ -37,12 +55,22 @@
     next.as_deref() == media || (media.is_none() && next.as_deref() == Some(EVENT_STREAM))
 }
 
-/// Searches for an endpoint that continues a stream, as far as retries are allowed.
-pub async fn search(call: &mut Call, position: &Position) -> Option<Run> {
+/// Searches for an endpoint that continues a stream, as far as retries are allowed. `at_work` tells
+/// whether a run before may still work on the stream.
+///
+/// Until its response begins, nothing is known of an attempt but that it was sent. If another endpoint
+/// may work on the stream, the attempt is therefore given up after a time, and the other one goes on.
+pub async fn search(
+    call: &mut Call,
+    position: &Position,
+    at_work: impl Fn() -> bool,
+) -> Option<Found> {
     let mut awaited = Awaited::default();
     awaited.extend(begin_copy(call, position));
+    let mut waits = false;
     loop {
-        if !awaited.is_promising() && call.may_run_again() {
+        let may_begin = !waits && !awaited.is_promising() && (awaited.is_empty() || !at_work());
+        if may_begin && call.may_run_again() {
             let attempt = begin_run(call, position);
             if attempt.is_none() {
                 call.return_retry();
@@ -52,8 +80,11 @@
         if awaited.is_empty() {
             return None;
         }
-        match awaited.next(call).await {
+        let news = awaited.next_beside(call, &at_work).await;
+        waits = matches!(news, News::Withdrawn);
+        match news {
             News::Silent => call.retry_spared(),
+            News::Withdrawn => {}
             News::TimedOut => {
                 awaited.time_out(call);
                 return None;
@@ -95,8 +126,12 @@
 ) -> Option<Attempt<()>> {
     // `place` logs denials.
     let guard = call.place(search).ok()?;
+    let reading = match search {
+        Search::Copy(_) => Duration::ZERO,
+        _ => guard.placement.expected.mul_f64(READING_SHARE),
+    };
     let sending = call.begin_send(&guard, phase, position.last.as_deref());
-    Some(Attempt::new(call, search, guard, sending, ()))
+    Some(Attempt::new(call, search, guard, sending, ()).limit_overlap(reading + OVERLAP))
 }
 
 /// Turns the response of an attempt into the next run of a stream, if it continues the stream.
@@ -105,8 +140,8 @@
     attempt: Attempt<()>,
     sent: SendOutcome,
     position: &Position,
-) -> Option<Run> {
-    let backup = attempt.backup();
+) -> Option<Found> {
+    let (backup, until) = (attempt.backup(), attempt.overlap_end());
     let Attempt { mut guard, search, .. } = attempt;
     let response = match sent {
         SendOutcome::Responded(response)
@@ -134,6 +169,7 @@
     guard.note_first();
     log_event!(call.shared.log, RESUMED, "request" => call.forwarded.id.as_deref(),
         "endpoint" => &*guard.placement.name, "after" => position.last.as_deref(),
-        "search" => search.label());
-    Some(Run::new(call, guard, *response, position.events))
+        "search" => search.label(), "ms" => guard.elapsed().as_millis() as u64);
+    let run = Run::new(call, guard, *response, position.events);
+    Some(Found { until: until.unwrap_or(run.begun), run })
 }
--- a/crates/serve/src/relay/takeover.rs
+++ b/crates/serve/src/relay/takeover.rs
@@ -1,5 +1,6 @@
 //! Moves the stream of a silent run to another endpoint.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::run::{Part, Run, Stop, read};
-use super::search::{Position, search};
+use super::search::{Found, Position, search};
 use crate::body::Chunk;
 use crate::buffer_limit::BufferGuard;
 use crate::call::Call;
@@ -45,6 +46,9 @@
 
 /// Searches for an endpoint that continues the stream of a silent run. The run is kept until another
 /// one continues the stream, and goes on if it yields an event before.
+///
+/// Both may work on the stream for a short time only. Silence is no reason to end a run, so that the
+/// other endpoint is given up unless it answers in that time, and may be asked again later.
 pub async fn take_over(
     call: &mut Call,
     run: &mut Run,
@@ -53,12 +57,16 @@
     chunks: &mpsc::Sender<Chunk>,
 ) -> Takeover {
     let (shared, position) = (call.shared.clone(), Position::of(run, events));
-    let (backup, runs) = (call.backup, call.runs);
+    let mut copy = call.backup;
     // A run that has broken is not read again: its body would seem to end in good order.
     let mut broken = None;
+    let key = run.guard.placement.key;
+    let is_open = Cell::new(true);
+    let at_work =
+        || is_open.get() && !shared.hub.ask(move |node, _| node.board.is_unreachable(key));
     let part = loop {
         let next = {
-            let search = search(call, &position);
+            let search = search(call, &position, &at_work);
             tokio::pin!(search);
             loop {
                 tokio::select! {
@@ -66,7 +74,12 @@
                     part = read(&shared, run, events, buffer), if broken.is_none() => match part {
                         Ok(Part::Incomplete) => {}
                         Ok(part) => break Err(part),
-                        Err(stop) => broken = Some(stop),
+                        Err(stop) => {
+                            // It must not work on the stream beside the next run.
+                            run.connection.close();
+                            is_open.set(false);
+                            broken = Some(stop);
+                        }
                     },
                     next = &mut search => break next.ok_or(Part::Incomplete),
                     () = chunks.closed() => return Takeover::Ended(Stop::CallerGone),
@@ -74,24 +87,27 @@
             }
         };
         match next {
-            Ok(next) if broken.is_some() => {
+            Ok(found) if broken.is_some() => {
                 events.resume();
-                return Takeover::Moved(Box::new(next), Part::Incomplete, broken);
+                return Takeover::Moved(Box::new(found.run), Part::Incomplete, broken);
             }
-            Ok(next) => {
+            Ok(found) => {
                 let states = (&mut *events, &mut *buffer);
-                match hand_over(&shared, run, next, states, &mut broken, chunks).await {
+                match hand_over(&shared, run, found, states, &mut broken, chunks).await {
                     Handover::Same(part) => break part,
                     Handover::Moved(next, part) => return Takeover::Moved(next, part, broken),
                     Handover::Failed(next, cause) => {
                         call.note_failed(&next.guard, FailureKind::Broken, &cause);
-                        call.backup = None;
+                        (call.backup, copy) = (None, None);
                     }
                     Handover::CallerGone => return Takeover::Ended(Stop::CallerGone),
                 }
             }
             Err(part) => match broken {
-                Some(stop) => return Takeover::Ended(stop),
+                Some(stop) => {
+                    call.backup = call.backup.or(copy);
+                    return Takeover::Ended(stop);
+                }
                 None => break part,
             },
         }
@@ -102,10 +118,8 @@
             "ms" => run.progress.elapsed().as_millis() as u64);
     }
     call.retry_spared();
-    if call.runs == runs {
-        // No other engine has used the copy.
-        call.backup = backup;
-    }
+    // An engine that was given up may not have used the copy.
+    call.backup = call.backup.or(copy);
     (run.progress, run.alone) = (Instant::now(), true);
     Takeover::Same(part)
 }
@@ -115,7 +129,7 @@
 async fn hand_over(
     shared: &Rc<Shared>,
     run: &mut Run,
-    next: Run,
+    Found { run: next, until }: Found,
     (events, buffer): (&mut EventSplitter, &mut BufferGuard),
     broken: &mut Option<Stop>,
     chunks: &mpsc::Sender<Chunk>,
@@ -124,7 +138,7 @@
     let mut next_events = events.clone();
     next_events.resume();
     let mut next_buffer = BufferGuard::new(&shared.buffer_limit);
-    let end = Instant::now() + HANDOVER;
+    let end = until.min(Instant::now() + HANDOVER);
     let part = loop {
         tokio::select! {
             biased;
@@ -136,7 +150,10 @@
             part = read(shared, run, events, buffer), if broken.is_none() => match part {
                 Ok(Part::Incomplete) => {}
                 Ok(part) => return Handover::Same(part),
-                Err(stop) => *broken = Some(stop),
+                Err(stop) => {
+                    run.connection.close();
+                    *broken = Some(stop);
+                }
             },
             () = sleep_until(end) => break Part::Incomplete,
             () = chunks.closed() => return Handover::CallerGone,
--- a/crates/serve/src/send.rs
+++ b/crates/serve/src/send.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one endpoint and classifies the outcome.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use agatestair_policy::EndpointKey;
@@ -10,7 +11,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use tokio::time::{Duration, timeout};
+use tokio::time::{Duration, Instant, timeout};
 
 use crate::buffer_limit::{BufferGuard, BufferLimit};
 use crate::connection::{Connection, ConnectionSettings, SendError};
@@ -45,6 +46,9 @@
     pub body: Bytes,
 }
 
+/// When a request was written to its endpoint, if it was.
+pub type Written = Rc<Cell<Option<Instant>>>;
+
 /// An endpoint's response whose body has not been read yet.
 pub struct EndpointResponse {
     /// Status.
@@ -123,7 +127,8 @@
     capacity + capacity.min(MAX_GROWTH_BYTES)
 }
 
-/// Sends a request to an endpoint and waits for the response head.
+/// Sends a request to an endpoint and waits for the response head; `written` is set as soon as the
+/// endpoint may work on the request.
 ///
 /// Dropping the future closes the connection, which makes the endpoint cancel the request.
 pub async fn send(
@@ -131,6 +136,7 @@
     placement: Placement,
     id: Option<Rc<str>>,
     mut request: Request<Full<Bytes>>,
+    written: Written,
 ) -> SendOutcome {
     let (shared, placement) = (&shared, &placement);
     let settings = ConnectionSettings::default();
@@ -158,6 +164,7 @@
         if !spent {
             return SendOutcome::Withheld("the endpoint's rate limit is reached");
         }
+        written.set(Some(Instant::now()));
         match connection.send(request).await {
             Ok(response) => break (connection, response),
             Err(SendError::NotSent(returned)) if !fresh => request = *returned,
