A stopping instance promises only what ends before its exit

Cause: an estimate decided about a promise. A request was taken if requests of its route had been short in the last minutes, whatever its deadline allows. With 3 to 40 short ones before, one that lasts longer is taken and cut.

Change: while it stops, an instance takes what ends before its exit at the request's deadline or the route's timeout. What may last longer is refused at once, and told to return in 10 ms if another instance is ready. Event 5027 says how long the process has left.

--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -246,7 +246,9 @@
         log_event!(self.shared.log, NOT_PLACED, "request" => self.forwarded.id.as_deref(),
             "service" => &*self.service.name, "search" => search.label(),
             "cause" => format!("{:?}", denial.cause), "share" => share,
-            "used" => used, "part" => part.map(|part| format!("{part:x}")), "version" => self.version,
+            "used" => used,
+            "stop_ms" => self.shared.shutdown.left().map(|left| left.as_millis() as u64),
+            "part" => part.map(|part| format!("{part:x}")), "version" => self.version,
             "back_ms" => denial.retry_after.as_millis() as u64,
             "aim_ms" => self.route.objective.as_millis() as u64,
             "left_ms" => self.remaining().as_millis() as u64, "sends" => self.sends);
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -9,6 +9,7 @@
 pub use gossip::PulseChanges;
 pub use limits::LimitChange;
 pub use stopping::BegunKey;
+use stopping::Stop;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -194,10 +195,8 @@
     /// When this instance starts, or last started, to report what holds for long.
     standing_from: Moment,
     sent_parts: VecDeque<SentPart>,
-    /// When the process exits, if this instance is shutting down.
-    stops_at: Option<Moment>,
-    /// Silence of an endpoint that requests taken during the shutdown have time for.
-    silence: Duration,
+    /// The shutdown, if this instance is shutting down.
+    stop: Option<Stop>,
     /// Requests with a placed attempt, and when the first one was placed.
     begun: SlotMap<BegunKey, (RouteService, Moment)>,
     /// Durations of requests, by route and service.
@@ -238,8 +237,7 @@
             sharing: Sharing::default(),
             standing_from: Moment(0),
             sent_parts: VecDeque::new(),
-            stops_at: None,
-            silence: Duration::ZERO,
+            stop: None,
             begun: SlotMap::with_key(),
             durations: HashMap::new(),
             settings,
--- a/crates/serve/src/shutdown.rs
+++ b/crates/serve/src/shutdown.rs
@@ -27,7 +27,7 @@
 /// Largest part of the grace period that each of these margins takes.
 const MARGIN_DIVISOR: u32 = 5;
 
-/// Longest silence of a sound endpoint that a new request has time for.
+/// Longest silence of a sound endpoint that a request with an estimated end has time for.
 const SILENCE: Duration = Duration::from_secs(2);
 
 /// Largest part of the grace period that is kept for such a silence.
@@ -113,7 +113,7 @@
     let answers = begun + working;
     shared.shutdown.period.set(Some(GracePeriod { begun, end: answers }));
     let silence = SILENCE.min(grace / SILENCE_DIVISOR);
-    shared.hub.ask(move |node, now| node.begin_shutdown(now + working, silence));
+    shared.hub.ask(move |node, now| node.begin_shutdown(now + working, silence, now));
     shared.leaving.cancel();
     log_event!(shared.log, STOPPING, "open" => shared.open.len(),
         "grace_ms" => grace.as_millis() as u64);
