Request bodies count towards their memory as they are received

Cause: the share of request bodies was compared when a body began, with the bodies that were complete by then. Bodies that arrive together were all let in. Collecting a body copied it once more.

Change: a body counts as its buffer grows (request_body.rs). One that does not fit is read to its end and dropped, and the caller gets 503: a connection that is closed with unread bytes is reset, so that a refusal may not arrive.

--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -5,27 +5,27 @@
 use std::sync::Arc;
 
 use agatestair_runtime::log_event;
-use bytes::Bytes;
 use http::header::{EXPECT, HOST};
 use http::request::Parts;
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
+
 use hyper::Request;
 use hyper::body::Incoming;
 use rand::Rng;
-use tokio::time::{Duration, Instant, sleep, timeout_at};
+use tokio::time::{Duration, Instant, sleep};
 
 use crate::body::ResponseBody;
 use crate::call::Call;
-use crate::configuration::{Limits, Route, RouteMatch};
+use crate::configuration::{Route, RouteMatch};
 use crate::events::{ABANDONED, ANSWERED, ATTEMPT_FAILED, REQUEST_FAILED};
 use crate::generate::generate;
 use crate::open_requests::OpenRequest;
 use crate::panics::catch_panic;
 use crate::plain::relay_plain;
+use crate::request_body::read_body;
 use crate::response::{DEFAULT_RETRY_AFTER, Failure, strip_hop_by_hop};
 use crate::send::ForwardedRequest;
-use crate::shared::{CountGuard, Shared};
+use crate::shared::Shared;
 use crate::wire::CallFacts;
 
 /// Longest time that a request waits for the process to load its initial state, enough for about
@@ -35,12 +35,6 @@
 /// Interval at which a waiting request checks whether the initial state is loaded.
 const STARTUP_POLL: Duration = Duration::from_millis(4);
 
-/// Fraction of the instance's memory that request bodies may use.
-const BODY_SHARE: f64 = 0.3;
-
-/// Bytes in a megabyte.
-const MEGABYTE: f64 = 1024.0 * 1024.0;
-
 /// Logs and counts, on drop, a request whose caller disconnected before the response.
 struct AbandonLog<'a> {
     shared: &'a Shared,
@@ -125,7 +119,7 @@
     let host = host.unwrap_or_default();
     let (limits, found) =
         shared.hub.ask(move |node, _| (node.limits(), node.route(&host, &path, draw)));
-    let body = read_body(shared, body, &limits, arrived + limits.idle_time).await;
+    let body = read_body(shared, body, limits.body_bytes, arrived + limits.idle_time).await;
     let (route, service, version) = match found {
         RouteMatch::Unknown => {
             let cause = "no configuration is known yet";
@@ -206,31 +200,3 @@
 fn header_text(headers: &HeaderMap, name: &http::HeaderName) -> Option<String> {
     headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
 }
-
-/// Reads a request's body and counts it towards the memory limit while the guard is held.
-async fn read_body(
-    shared: &Rc<Shared>,
-    body: Incoming,
-    limits: &Limits,
-    deadline: Instant,
-) -> Result<(Bytes, CountGuard<fn(&Shared) -> &std::cell::Cell<usize>>), Failure> {
-    let max_bytes = shared.settings().machine.memory_mb * MEGABYTE * BODY_SHARE;
-    if shared.body_bytes.get() as f64 > max_bytes {
-        let cause = "too many request bodies in memory";
-        return Err(Failure::NotRun { retry_after: DEFAULT_RETRY_AFTER, cause });
-    }
-    let read = timeout_at(deadline, Limited::new(body, limits.body_bytes).collect()).await;
-    match read {
-        Ok(Ok(body)) => {
-            let bytes = body.to_bytes();
-            let count: fn(&Shared) -> &std::cell::Cell<usize> = |shared| &shared.body_bytes;
-            let guard = CountGuard::new(shared.clone(), count, bytes.len());
-            Ok((bytes, guard))
-        }
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Failure::BadRequest(StatusCode::PAYLOAD_TOO_LARGE, "body too large"))
-        }
-        Ok(Err(_)) => Err(Failure::BadRequest(StatusCode::BAD_REQUEST, "body broken off")),
-        Err(_) => Err(Failure::BadRequest(StatusCode::REQUEST_TIMEOUT, "body too slow")),
-    }
-}
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -47,6 +47,7 @@
 mod read_limit;
 mod relay;
 mod reload;
+mod request_body;
 mod response;
 mod room;
 mod run;
