--- a/crates/serve/src/node/stopping.rs
+++ b/crates/serve/src/node/stopping.rs
@@ -10,8 +10,7 @@
 use crate::node::Node;
 use crate::response::DEFAULT_RETRY_AFTER;
 
-/// Time after the signal in which the platform accepts that a request is sent whose response the exit
-/// cuts.
+/// Time after the signal up to which the platform excuses that a new request is cut by the exit.
 const UNSURE_TIME: Duration = Duration::from_secs(3);
 
 /// Time between the probable end of a run and the exit of the process: a new connection to the
@@ -26,9 +25,10 @@
     pub struct BegunKey;
 }
 
-/// Shutdown of an instance, for its decisions on work.
+/// A shutdown in progress.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Stop {
+    /// When the signal arrived.
     begun: Moment,
     /// When requests are answered with an error.
     end: Moment,
--- a/crates/serve/src/relay/run.rs
+++ b/crates/serve/src/relay/run.rs
@@ -27,14 +27,19 @@
 
 /// The part of a stream that one endpoint serves.
 pub struct Run {
+    /// Counts the run at its endpoint.
     pub guard: AttemptGuard,
+    /// What is left of the response body.
     pub body: Incoming,
+    /// Connection of the response.
     pub connection: Connection,
+    /// Idle time after which the endpoint closes the connection, if it names one.
     pub idle: Option<Duration>,
     /// When the response head arrived.
     pub begun: Instant,
     /// Media type of the body, if given.
     pub media: Option<String>,
+    /// What marks the end of the body.
     pub framing: Framing,
     /// Number of the stream's events before this run.
     pub begin: u64,
@@ -45,6 +50,7 @@
 }
 
 impl Run {
+    /// A run whose response head has arrived, after `begin` events of the stream.
     pub fn new(call: &Call, guard: AttemptGuard, response: EndpointResponse, begin: u64) -> Self {
         let headers = &response.headers;
         Self {
--- a/crates/serve/src/relay/search.rs
+++ b/crates/serve/src/relay/search.rs
@@ -27,6 +27,7 @@
 
 /// A run that may continue a stream.
 pub struct Found {
+    /// The run, whose response has begun.
     pub run: Run,
     /// Until when another endpoint may work on the stream beside it.
     pub until: Instant,
