A silent stream is given up only for an event of another engine

A stream whose engine falls silent was given up 0.2 s after the head of another engine's answer. If that one sends nothing more, the stream is cut, although the first engine goes on.

Cause: a head was taken for the sign that the other engine goes on with the stream.

Change: the silent run ends only with an event of the other engine. One that has none 0.3 s after the request was written is withdrawn like one without a head. If the silent run breaks meanwhile, the other one goes on alone at once.

--- a/crates/serve/src/awaited.rs
+++ b/crates/serve/src/awaited.rs
@@ -33,7 +33,7 @@
 const MIN_PROBE_DELAY: Duration = Duration::from_millis(250);
 
 /// Time after which it is checked again whether another endpoint works on the stream.
-const RECHECK: Duration = Duration::from_millis(50);
+pub const RECHECK: Duration = Duration::from_millis(50);
 
 /// Shortest time between two searches for another endpoint while all attempts are silent.
 const MIN_SEARCH_PAUSE: Duration = Duration::from_millis(250);
@@ -195,6 +195,7 @@
             () = sleep_until(deadline) => return News::TimedOut,
             () = overdue => {
                 if let Some(Attempt { guard, search, .. }) = self.attempts.pop() {
+                    call.sends += 1;
                     call.note_withdrawn(&guard, search);
                 }
                 return News::Withdrawn;
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -369,9 +369,9 @@
             "ms" => guard.elapsed().as_millis() as u64);
     }
 
-    /// Counts an attempt that was given up before its response, although it may run the request.
+    /// Records an attempt that was given up before it has yielded anything, although it may run the
+    /// request.
     pub fn note_withdrawn(&mut self, guard: &AttemptGuard, search: Search) {
-        self.sends += 1;
         if !matches!(search, Search::Copy(_)) {
             self.tried.push(guard.placement.key);
         }
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -170,8 +170,8 @@
 /// The code that serves a request has panicked.
 pub const REQUEST_FAILED: Event =
     Event { number: 5061, level: Level::Error, text: "request failed unexpectedly" };
-/// An attempt to continue a stream is given up without a response, since the endpoint before may
-/// still work on the stream.
+/// An attempt to continue a stream is given up without an event, since the endpoint before may still
+/// work on the stream.
 pub const ATTEMPT_WITHDRAWN: Event =
     Event { number: 5062, level: Level::Info, text: "attempt withdrawn" };
 /// All events of this crate.
--- a/crates/serve/src/relay/search.rs
+++ b/crates/serve/src/relay/search.rs
@@ -19,7 +19,7 @@
 
 /// Time after an attempt was sent in which it may work on a stream beside another endpoint. The
 /// platform allows 400 ms; the rest is for closing the connection of the one that is given up.
-const OVERLAP: Duration = Duration::from_millis(300);
+pub const OVERLAP: Duration = Duration::from_millis(300);
 
 /// Fraction of the expected time to its first event in which a new run does not work on the stream
 /// yet, since the endpoint reads the prompt.
@@ -29,6 +29,8 @@
 pub struct Found {
     /// The run, whose response has begun.
     pub run: Run,
+    /// How its endpoint was chosen.
+    pub search: Search,
     /// Until when another endpoint may work on the stream beside it.
     pub until: Instant,
 }
@@ -172,5 +174,5 @@
         "endpoint" => &*guard.placement.name, "after" => position.last.as_deref(),
         "search" => search.label(), "ms" => guard.elapsed().as_millis() as u64);
     let run = Run::new(call, guard, *response, position.events);
-    Some(Found { until: until.unwrap_or(run.begun), run })
+    Some(Found { search, until: until.unwrap_or(run.begun), run })
 }
--- a/crates/serve/src/relay/takeover.rs
+++ b/crates/serve/src/relay/takeover.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use agatestair_policy::board::FailureKind;
 use agatestair_runtime::log_event;
@@ -10,7 +9,8 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::run::{Part, Run, Stop, read};
-use super::search::{Found, Position, search};
+use super::search::{Found, OVERLAP, Position, search};
+use crate::awaited::RECHECK;
 use crate::body::Chunk;
 use crate::buffer_limit::BufferGuard;
 use crate::call::Call;
@@ -18,9 +18,6 @@
 use crate::shared::Shared;
 use crate::stream::EventSplitter;
 
-/// Longest time for which a silent run is kept beside the one that takes its stream over.
-const HANDOVER: Duration = Duration::from_millis(200);
-
 /// What follows the silence of a run.
 pub enum Takeover {
     /// The run goes on, with this part.
@@ -36,10 +33,12 @@
 enum Handover {
     /// The silent run has yielded a part before.
     Same(Part),
-    /// It continues the stream, from this part on.
-    Moved(Box<Run>, Part),
+    /// It continues the stream, from this part on; why the silent run has broken, if it has.
+    Moved(Box<Run>, Part, Option<Stop>),
     /// It has failed.
     Failed(Box<Run>, String),
+    /// It has yielded nothing in time, although the silent run may go on.
+    Withdrawn(Box<Run>),
     /// The caller disconnected.
     CallerGone,
 }
@@ -48,7 +47,7 @@
 /// one continues the stream, and goes on if it yields an event before.
 ///
 /// Both may work on the stream for a short time only. Silence is no reason to end a run, so that the
-/// other endpoint is given up unless it answers in that time, and may be asked again later.
+/// other endpoint is given up unless it yields an event in that time, and may be asked again later.
 pub async fn take_over(
     call: &mut Call,
     run: &mut Run,
@@ -93,13 +92,17 @@
             }
             Ok(found) => {
                 let states = (&mut *events, &mut *buffer);
-                match hand_over(&shared, run, found, states, &mut broken, chunks).await {
+                let search = found.search;
+                match hand_over(&shared, run, found, states, &at_work, chunks).await {
                     Handover::Same(part) => break part,
-                    Handover::Moved(next, part) => return Takeover::Moved(next, part, broken),
+                    Handover::Moved(next, part, broken) => {
+                        return Takeover::Moved(next, part, broken);
+                    }
                     Handover::Failed(next, cause) => {
                         call.note_failed(&next.guard, FailureKind::Broken, &cause);
                         (call.backup, copy) = (None, None);
                     }
+                    Handover::Withdrawn(next) => call.note_withdrawn(&next.guard, search),
                     Handover::CallerGone => return Takeover::Ended(Stop::CallerGone),
                 }
             }
@@ -124,41 +127,46 @@
     Takeover::Same(part)
 }
 
-/// Keeps a silent run for a short time beside the one that takes its stream over, in case that one
-/// fails at once; `broken` tells why the silent one broke meanwhile, if it did.
+/// Keeps a silent run beside the one that takes its stream over until one of them yields an event, or
+/// for as long as both may work on it; `at_work` tells whether the silent one may go on.
 async fn hand_over(
     shared: &Rc<Shared>,
     run: &mut Run,
-    Found { run: next, until }: Found,
+    Found { run: next, until, .. }: Found,
     (events, buffer): (&mut EventSplitter, &mut BufferGuard),
-    broken: &mut Option<Stop>,
+    at_work: impl Fn() -> bool,
     chunks: &mpsc::Sender<Chunk>,
 ) -> Handover {
     let mut next = Box::new(next);
     let mut next_events = events.clone();
     next_events.resume();
     let mut next_buffer = BufferGuard::new(&shared.buffer_limit);
-    let end = until.min(Instant::now() + HANDOVER);
-    let part = loop {
+    let mut end = until.min(Instant::now() + OVERLAP);
+    let (part, broken) = loop {
         tokio::select! {
             biased;
             part = read(shared, &mut next, &mut next_events, &mut next_buffer) => match part {
                 Ok(Part::Incomplete) => {}
-                Ok(part) => break part,
+                Ok(part) => break (part, None),
                 Err(stop) => return Handover::Failed(next, stop.describe().1),
             },
-            part = read(shared, run, events, buffer), if broken.is_none() => match part {
+            part = read(shared, run, events, buffer) => match part {
                 Ok(Part::Incomplete) => {}
                 Ok(part) => return Handover::Same(part),
                 Err(stop) => {
                     run.connection.close();
-                    *broken = Some(stop);
+                    break (Part::Incomplete, Some(stop));
                 }
             },
-            () = sleep_until(end) => break Part::Incomplete,
+            () = sleep_until(end) => {
+                if at_work() {
+                    return Handover::Withdrawn(next);
+                }
+                end = Instant::now() + RECHECK;
+            }
             () = chunks.closed() => return Handover::CallerGone,
         }
     };
     (*events, *buffer) = (next_events, next_buffer);
-    Handover::Moved(next, part)
+    Handover::Moved(next, part, broken)
 }
