A load figure that is no number does not end placements

Cause: the pace of an endpoint was only asked to be positive, and durations are multiplied by it.

Change: a pace of over 100 times the usual time, or one that is no number, is ignored, whether an endpoint or another instance tells it.

--- a/crates/policy/src/board/endpoint.rs
+++ b/crates/policy/src/board/endpoint.rs
@@ -14,6 +14,9 @@
 /// Age at which an endpoint's reported pace expires.
 const REPORT_LIFETIME: Duration = Duration::from_millis(300);
 
+/// Largest pace that an endpoint may report; work takes a hundred times the usual time.
+const MAX_PACE: f64 = 100.0;
+
 /// The part of a split run that an engine executes.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Stage {
@@ -108,17 +111,18 @@
     }
 
     /// Records the pace that the endpoint reported to this instance: the time that work takes
-    /// relative to the usual time. Values that are not positive are ignored.
+    /// relative to the usual time. Values that no endpoint may report are ignored.
     pub fn note_direct_pace(&mut self, pace: f64, now: Moment) {
-        if pace > 0.0 {
+        if is_valid(pace) {
             self.direct_pace = Some((pace, now));
             self.note_pace(pace, now);
         }
     }
 
-    /// Records a pace that the endpoint reported to any instance at the moment `at`.
+    /// Records a pace that the endpoint reported to any instance at the moment `at`. Values that no
+    /// endpoint may report are ignored.
     pub fn note_pace(&mut self, pace: f64, at: Moment) {
-        if self.latest_pace.is_none_or(|(_, known)| known < at) {
+        if is_valid(pace) && self.latest_pace.is_none_or(|(_, known)| known < at) {
             self.latest_pace = Some((pace, at));
         }
     }
@@ -132,3 +136,8 @@
         }
     }
 }
+
+/// Whether an endpoint may report this pace, which durations are multiplied by.
+fn is_valid(pace: f64) -> bool {
+    pace > 0.0 && pace <= MAX_PACE
+}
