Bytes left of an answer do not refuse the next request

A faulty runner sends additional bytes after an answer, in the form of a refusal without an identifier; they arrive where the answer to the next request on the connection is expected.

Cause: only a response with another identifier counted as another request's. The connection of a refusal without one was not used again afterwards, but the refusal itself was believed.

Change: on a connection that has carried a response, a refusal (or 408, 429, 503 without the header of one) that names no request is believed by nobody: the request may have run. On a new connection nothing can be left of an answer.

--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -64,6 +64,8 @@
     idle_limit: Duration,
     last_used: Instant,
     retired: bool,
+    /// Whether it has carried a response.
+    used: bool,
 }
 
 /// Why a request got no response.
@@ -106,6 +108,7 @@
             idle_limit,
             last_used: Instant::now(),
             retired: false,
+            used: false,
         })
     }
 
@@ -133,7 +136,12 @@
         if let Some(advertised) = advertised {
             self.idle_limit = advertised.mul_f64(IDLE_SHARE);
         }
-        self.last_used = Instant::now();
+        (self.last_used, self.used) = (Instant::now(), true);
+    }
+
+    /// Whether the connection has carried a response before; further bytes may be left of it.
+    pub fn is_used(&self) -> bool {
+        self.used
     }
 
     /// Excludes the connection from further use, since a later response could not be told from one
--- a/crates/serve/src/send.rs
+++ b/crates/serve/src/send.rs
@@ -176,12 +176,17 @@
     };
     let (head, body) = response.into_parts();
     let facts = (shared.wire.read_response)(&head.headers);
+    let is_used = connection.is_used();
     connection.note_idle(facts.idle);
     let endpoint = EndpointRef { key: placement.key, name: &placement.name };
     note_availability(shared, endpoint, id.as_deref(), head.status, &facts);
     if facts.echo.is_some() && facts.echo.as_deref() != id.as_deref() {
         return SendOutcome::Unknown("the answer belongs to another request".to_owned());
     }
+    if is_used && id.is_some() && facts.echo.is_none() && promises(head.status, &facts) {
+        // Additional bytes after the response before may look like this.
+        return SendOutcome::Unknown("a refusal that names no request".to_owned());
+    }
     if let Some(pace) = facts.pace {
         let key = placement.key;
         shared.hub.ask(move |node, now| node.note_direct_pace(key, pace, now));
@@ -207,6 +212,17 @@
     }))
 }
 
+/// Whether a response promises that its request has not run.
+fn promises(status: StatusCode, facts: &ResponseFacts) -> bool {
+    let statuses = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    facts.not_run || statuses.contains(&status)
+}
+
 /// Builds the request for an endpoint from that of the caller.
 pub fn build_request(
     shared: &Shared,
