--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -8,7 +8,6 @@
 use http::header::{EXPECT, HOST};
 use http::request::Parts;
 use http::{HeaderMap, Response, StatusCode};
-
 use hyper::Request;
 use hyper::body::Incoming;
 use rand::Rng;
