No estimate decides how long two endpoints work on one stream

What callers saw: nothing; found by reading the diff. A new run that continues a stream had half of its expected time to the first event more than the 0.3 s that a copy has.

Cause: the limit rested on an estimate.

Change: one limit for all attempts, from the writing of the request to the first event. The expected time is short as a rule, since an engine fetches what the silent one has of the prompt. Event 5062 says whether a head or an event was missing.

Evidence: an_engine_that_is_expected_to_be_slow_works_no_longer_beside_a_silent_one failed before, passes now; takeover.rs, silence, streams, broken_streams pass.

--- a/crates/serve/src/awaited.rs
+++ b/crates/serve/src/awaited.rs
@@ -14,7 +14,7 @@
 
 use crate::attempt_guard::AttemptGuard;
 use crate::call::{Call, Sending};
-use crate::events::{ATTEMPT_DROPPED, ENDPOINT_RESUMED};
+use crate::events::{ATTEMPT_DROPPED, ATTEMPT_WITHDRAWN, ENDPOINT_RESUMED};
 use crate::node::{Backup, Search};
 use crate::reach::until_unreachable;
 use crate::send::SendOutcome;
@@ -196,7 +196,7 @@
             () = overdue => {
                 if let Some(Attempt { guard, search, .. }) = self.attempts.pop() {
                     call.sends += 1;
-                    call.note_withdrawn(&guard, search);
+                    note_withdrawn(call, &guard, search, "no answer in time");
                 }
                 return News::Withdrawn;
             }
@@ -238,6 +238,19 @@
         "ms" => guard.elapsed().as_millis() as u64);
 }
 
+/// Records an attempt to continue a stream that was given up before it has yielded an event, although
+/// it may work on the stream. A copy may be asked again.
+pub fn note_withdrawn(call: &mut Call, guard: &AttemptGuard, search: Search, cause: &str) {
+    if !matches!(search, Search::Copy(_)) {
+        call.tried.push(guard.placement.key);
+    }
+    metrics::counter!("agatestair_serve_withdrawn_total").increment(1);
+    log_event!(call.shared.log, ATTEMPT_WITHDRAWN, "request" => call.forwarded.id.as_deref(),
+        "endpoint" => &*guard.placement.name, "search" => search.label(), "cause" => cause,
+        "sends" => call.sends, "left_ms" => call.remaining().as_millis() as u64,
+        "ms" => guard.elapsed().as_millis() as u64);
+}
+
 /// Takes the outcome of an attempt into account, which is not counted as a run any more.
 fn note_outcome<T>(call: &mut Call, attempt: &Attempt<T>, sent: &SendOutcome) {
     call.runs -= 1;
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -15,8 +15,8 @@
 use crate::attempt_guard::AttemptGuard;
 use crate::configuration::{Route, Service};
 use crate::events::{
-    ATTEMPT_FAILED, ATTEMPT_WITHDRAWN, ATTEMPT_WITHHELD, ENDPOINT_EJECTED, ENDPOINT_SILENT,
-    NOT_PLACED, PART_TRIED, PLACED,
+    ATTEMPT_FAILED, ATTEMPT_WITHHELD, ENDPOINT_EJECTED, ENDPOINT_SILENT, NOT_PLACED, PART_TRIED,
+    PLACED,
 };
 use crate::node::{Backup, BegunKey, Placement, Search};
 use crate::response::{DEFAULT_RETRY_AFTER, Failure, not_run, not_run_within};
@@ -369,19 +369,6 @@
             "ms" => guard.elapsed().as_millis() as u64);
     }
 
-    /// Records an attempt that was given up before it has yielded anything, although it may run the
-    /// request.
-    pub fn note_withdrawn(&mut self, guard: &AttemptGuard, search: Search) {
-        if !matches!(search, Search::Copy(_)) {
-            self.tried.push(guard.placement.key);
-        }
-        metrics::counter!("agatestair_serve_withdrawn_total").increment(1);
-        log_event!(self.shared.log, ATTEMPT_WITHDRAWN, "request" => self.forwarded.id.as_deref(),
-            "endpoint" => &*guard.placement.name, "search" => search.label(),
-            "sends" => self.sends, "left_ms" => self.remaining().as_millis() as u64,
-            "ms" => guard.elapsed().as_millis() as u64);
-    }
-
     /// Records an attempt without a response.
     pub fn note_unanswered(&mut self, guard: &AttemptGuard, sent: &SendOutcome) {
         match sent {
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -202,6 +202,7 @@
             }
             return Step::Wait;
         }
+        // Only attempts to continue a stream are withdrawn.
         News::Withdrawn => return Step::Wait,
         News::TimedOut => {
             call.note_duration();
--- a/crates/serve/src/relay/search.rs
+++ b/crates/serve/src/relay/search.rs
@@ -17,13 +17,8 @@
 use crate::stream::EventSplitter;
 use crate::wire::{HandleName, Phase};
 
-/// Time after an attempt was sent in which it may work on a stream beside another endpoint. The
-/// platform allows 400 ms; the rest is for closing the connection of the one that is given up.
-pub const OVERLAP: Duration = Duration::from_millis(300);
-
-/// Fraction of the expected time to its first event in which a new run does not work on the stream
-/// yet, since the endpoint reads the prompt.
-const READING_SHARE: f64 = 0.5;
+/// Longest time after an attempt was sent for which it may work on a stream beside another endpoint.
+const OVERLAP: Duration = Duration::from_millis(300);
 
 /// A run that may continue a stream.
 pub struct Found {
@@ -129,12 +124,8 @@
 ) -> Option<Attempt<()>> {
     // `place` logs denials.
     let guard = call.place(search).ok()?;
-    let reading = match search {
-        Search::Copy(_) => Duration::ZERO,
-        _ => guard.placement.expected.mul_f64(READING_SHARE),
-    };
     let sending = call.begin_send(&guard, phase, position.last.as_deref());
-    Some(Attempt::new(call, search, guard, sending, ()).limit_overlap(reading + OVERLAP))
+    Some(Attempt::new(call, search, guard, sending, ()).limit_overlap(OVERLAP))
 }
 
 /// Turns the response of an attempt into the next run of a stream, if it continues the stream.
--- a/crates/serve/src/relay/takeover.rs
+++ b/crates/serve/src/relay/takeover.rs
@@ -9,8 +9,8 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::run::{Part, Run, Stop, read};
-use super::search::{Found, OVERLAP, Position, search};
-use crate::awaited::RECHECK;
+use super::search::{Found, Position, search};
+use crate::awaited::{RECHECK, note_withdrawn};
 use crate::body::Chunk;
 use crate::buffer_limit::BufferGuard;
 use crate::call::Call;
@@ -102,7 +102,9 @@
                         call.note_failed(&next.guard, FailureKind::Broken, &cause);
                         (call.backup, copy) = (None, None);
                     }
-                    Handover::Withdrawn(next) => call.note_withdrawn(&next.guard, search),
+                    Handover::Withdrawn(next) => {
+                        note_withdrawn(call, &next.guard, search, "no event in time");
+                    }
                     Handover::CallerGone => return Takeover::Ended(Stop::CallerGone),
                 }
             }
@@ -141,7 +143,7 @@
     let mut next_events = events.clone();
     next_events.resume();
     let mut next_buffer = BufferGuard::new(&shared.buffer_limit);
-    let mut end = until.min(Instant::now() + OVERLAP);
+    let mut end = until;
     let (part, broken) = loop {
         tokio::select! {
             biased;
