One guard for the memory of requests and responses

Request bodies had a copy of the guard and of the growth of response buffers. Both use buffer_limit.rs now; no change of behaviour but that the share is that of the settings at the start, as for responses. bodies.rs, unbounded.rs and bounds.rs pass.

--- a/crates/serve/src/buffer_limit.rs
+++ b/crates/serve/src/buffer_limit.rs
@@ -1,10 +1,17 @@
-//! Limits the total memory of response data that is buffered before it can be forwarded.
+//! Limits the total memory of requests and responses that are buffered before they can be forwarded.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
 /// Fraction of the instance's memory for buffered response data.
-const MEMORY_SHARE: f64 = 0.25;
+const RESPONSE_SHARE: f64 = 0.25;
+
+/// Fraction of the instance's memory for the bodies of requests, complete or not.
+const REQUEST_SHARE: f64 = 0.3;
+
+/// Largest step in bytes by which a buffer grows, so that the memory that it reserves ahead stays
+/// small.
+const MAX_GROWTH_BYTES: usize = 1024 * 1024;
 
 /// Bytes of each response that do not count towards the limit. Normal responses are smaller than
 /// this, so they can always be buffered, whatever other responses use.
@@ -13,17 +20,28 @@
 /// Bytes in a megabyte.
 const MEGABYTE: f64 = 1024.0 * 1024.0;
 
-/// Memory used by all buffered responses, and its limit.
+/// Memory used by all buffers of a kind, and its limit.
 #[derive(Clone, Debug)]
 pub struct BufferLimit {
     bytes: Rc<Cell<usize>>,
     max_bytes: usize,
+    /// Bytes of each buffer that do not count.
+    uncounted: usize,
 }
 
 impl BufferLimit {
-    /// Creates the limit for an instance with this much memory, in megabytes.
+    /// Creates the limit on responses of an instance with this much memory, in megabytes.
     pub fn new(memory_mb: f64) -> Self {
-        Self { bytes: Rc::default(), max_bytes: (memory_mb * MEGABYTE * MEMORY_SHARE) as usize }
+        Self::of(memory_mb * RESPONSE_SHARE, UNCOUNTED_BYTES)
+    }
+
+    /// Creates the limit on request bodies of an instance with this much memory, in megabytes.
+    pub fn for_requests(memory_mb: f64) -> Self {
+        Self::of(memory_mb * REQUEST_SHARE, 0)
+    }
+
+    fn of(max_mb: f64, uncounted: usize) -> Self {
+        Self { bytes: Rc::default(), max_bytes: (max_mb * MEGABYTE) as usize, uncounted }
     }
 
     /// Bytes that currently count towards the limit.
@@ -32,7 +50,7 @@
     }
 }
 
-/// Memory used by one buffered response, released on drop.
+/// Memory used by one buffer, released on drop.
 #[derive(Debug)]
 pub struct BufferGuard {
     total: BufferLimit,
@@ -45,10 +63,26 @@
         Self { total: total.clone(), counted: 0 }
     }
 
-    /// Sets the size of the response in bytes; returns `false` and changes nothing if the limit
+    /// Appends data to the buffered bytes, whose capacity counts; returns `false` and changes nothing if
+    /// the limit would be exceeded.
+    pub fn append(&mut self, bytes: &mut Vec<u8>, data: &[u8]) -> bool {
+        let size = bytes.len() + data.len();
+        if size > bytes.capacity() {
+            let capacity = bytes.capacity() + bytes.capacity().min(MAX_GROWTH_BYTES);
+            let capacity = capacity.max(size);
+            if !self.set(capacity) {
+                return false;
+            }
+            bytes.reserve_exact(capacity - bytes.len());
+        }
+        bytes.extend_from_slice(data);
+        true
+    }
+
+    /// Sets the size of the buffer in bytes; returns `false` and changes nothing if the limit
     /// would be exceeded. Shrinking always succeeds.
     pub fn set(&mut self, bytes: usize) -> bool {
-        let counted = bytes.saturating_sub(UNCOUNTED_BYTES);
+        let counted = bytes.saturating_sub(self.total.uncounted);
         let others = self.total.bytes.get() - self.counted;
         let fits = counted <= self.counted || others + counted <= self.total.max_bytes;
         if fits {
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -118,7 +118,8 @@
     let host = host.unwrap_or_default();
     let (limits, found) =
         shared.hub.ask(move |node, _| (node.limits(), node.route(&host, &path, draw)));
-    let body = read_body(shared, body, limits.body_bytes, arrived + limits.idle_time).await;
+    let body =
+        read_body(&shared.request_limit, body, limits.body_bytes, arrived + limits.idle_time).await;
     let (route, service, version) = match found {
         RouteMatch::Unknown => {
             let cause = "no configuration is known yet";
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -178,6 +178,7 @@
         store: store(),
         pool: Pool::default(),
         buffer_limit: BufferLimit::new(settings.machine.memory_mb),
+        request_limit: BufferLimit::for_requests(settings.machine.memory_mb),
         settings: RefCell::new(Rc::new(settings)),
         metrics,
         log,
@@ -195,7 +196,6 @@
         shutdown: Shutdown::default(),
         row_unsure: Cell::new(false),
         connections: Cell::new(0),
-        body_bytes: Cell::new(0),
     });
     let listeners = [
         ("callers", Some(&listen_on.callers), Listener::Callers),
--- a/crates/serve/src/send.rs
+++ b/crates/serve/src/send.rs
@@ -27,10 +27,6 @@
 /// Maximum size of a refusal's body that is read, in bytes.
 const MAX_REFUSAL_BYTES: usize = 16 * 1024;
 
-/// Largest step in bytes by which the buffer of a response grows, so that the memory that it
-/// reserves ahead stays small.
-const MAX_GROWTH_BYTES: usize = 1024 * 1024;
-
 /// A caller's request as forwarded to endpoints.
 #[derive(Clone, Debug)]
 pub struct ForwardedRequest {
@@ -106,27 +102,16 @@
             if size > max_bytes {
                 return Err(SendOutcome::Unknown(format!("answer of more than {max_bytes} bytes")));
             }
-            if size > bytes.capacity() {
-                let capacity = grown(bytes.capacity()).max(size);
-                if !buffer.set(capacity) {
-                    let cause =
-                        format!("no memory for an answer of more than {} bytes", bytes.len());
-                    return Err(SendOutcome::Unknown(cause));
-                }
-                bytes.reserve_exact(capacity - bytes.len());
+            if !buffer.append(&mut bytes, &data) {
+                let cause = format!("no memory for an answer of more than {} bytes", bytes.len());
+                return Err(SendOutcome::Unknown(cause));
             }
-            bytes.extend_from_slice(&data);
         }
         connection.note_idle(facts.idle);
         Ok((bytes.into(), buffer, connection))
     }
 }
 
-/// Next capacity of a response's buffer.
-fn grown(capacity: usize) -> usize {
-    capacity + capacity.min(MAX_GROWTH_BYTES)
-}
-
 /// Sends a request to an endpoint and waits for the response head; `written` is set as soon as the
 /// endpoint may work on the request.
 ///
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -101,8 +101,8 @@
     pub row_unsure: Cell<bool>,
     /// Number of open callers' connections.
     pub connections: Cell<usize>,
-    /// Bytes of request bodies in memory.
-    pub body_bytes: Cell<usize>,
+    /// Memory used by the bodies of requests.
+    pub request_limit: BufferLimit,
     /// Memory used by buffered responses.
     pub buffer_limit: BufferLimit,
 }
