--- a/crates/policy/src/board/endpoint.rs
+++ b/crates/policy/src/board/endpoint.rs
@@ -111,12 +111,13 @@
     }
 
     /// Records the pace that the endpoint reported to this instance: the time that work takes
-    /// relative to the usual time. Values that no endpoint may report are ignored.
-    pub fn note_direct_pace(&mut self, pace: f64, now: Moment) {
+    /// relative to the usual time. Returns `false` and ignores values that no endpoint may report.
+    pub fn note_direct_pace(&mut self, pace: f64, now: Moment) -> bool {
         if is_valid(pace) {
             self.direct_pace = Some((pace, now));
             self.note_pace(pace, now);
         }
+        is_valid(pace)
     }
 
     /// Records a pace that the endpoint reported to any instance at the moment `at`. Values that no
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -529,11 +529,10 @@
         placement
     }
 
-    /// Records the pace that an endpoint reports of itself.
-    pub fn note_direct_pace(&mut self, key: EndpointKey, pace: f64, now: Moment) {
-        if let Some(endpoint) = self.board.endpoints.get_mut(key) {
-            endpoint.note_direct_pace(pace, now);
-        }
+    /// Records the pace that an endpoint reports of itself; returns whether it is valid.
+    pub fn note_direct_pace(&mut self, key: EndpointKey, pace: f64, now: Moment) -> bool {
+        let endpoint = self.board.endpoints.get_mut(key);
+        endpoint.is_none_or(|endpoint| endpoint.note_direct_pace(pace, now))
     }
 
     /// Adds or updates an endpoint that the store lists.
--- a/crates/serve/src/send.rs
+++ b/crates/serve/src/send.rs
@@ -174,7 +174,10 @@
     }
     if let Some(pace) = facts.pace {
         let key = placement.key;
-        shared.hub.ask(move |node, now| node.note_direct_pace(key, pace, now));
+        if !shared.hub.ask(move |node, now| node.note_direct_pace(key, pace, now)) {
+            let error = WireError { field: "load", problem: format!("{pace} is no pace") };
+            note_malformed(shared, endpoint, id.as_deref(), &error);
+        }
     }
     if facts.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
         if facts.echo.is_none() {
