Each sending of a request is recorded, with the grounds for it

The log of one instance could not tell on which connection, kept or new, a request was written, nor that it was written a second time after a kept connection had closed; a refusal could not be told from bytes left of another one. The decision whether a request may be sent again was spread over six places that counted runs.

`dispatches.rs` records each sending and how it ended; the number of runs follows from it, and one function says on what grounds the request may be sent. Events 5063 to 5065 log them.

--- a/crates/serve/src/awaited.rs
+++ b/crates/serve/src/awaited.rs
@@ -58,17 +58,15 @@
 }
 
 impl<T> Attempt<T> {
-    /// An attempt that has just begun. It counts as a run of the request, unless its outcome shows
-    /// otherwise, so that one that is dropped without an outcome does, too.
+    /// An attempt that has just begun.
     pub fn new(
-        call: &mut Call,
+        call: &Call,
         search: Search,
         guard: AttemptGuard,
         sending: Sending,
         held: T,
     ) -> Self {
         let limit = Instant::now() + response_limit(call, &guard);
-        call.runs += 1;
         let id = call.forwarded.id.clone();
         Self { guard, search, held, sending, id, limit, overlap: None, silent: false }
     }
@@ -251,15 +249,14 @@
         "ms" => guard.elapsed().as_millis() as u64);
 }
 
-/// Takes the outcome of an attempt into account, which is not counted as a run any more.
+/// Takes the outcome of an attempt into account.
 fn note_outcome<T>(call: &mut Call, attempt: &Attempt<T>, sent: &SendOutcome) {
-    call.runs -= 1;
     if attempt.silent {
         log_event!(call.shared.log, ENDPOINT_RESUMED, "request" => call.forwarded.id.as_deref(),
             "endpoint" => &*attempt.guard.placement.name,
             "ms" => attempt.guard.elapsed().as_millis() as u64);
     }
-    call.note_sent(sent);
+    call.note_sent(attempt.sending.key, sent);
 }
 
 /// Time within which the response head of an attempt must arrive if another attempt may follow.
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -1,6 +1,6 @@
 //! State of one request in flight: placement, attempts so far, and retry decisions.
 
-use std::cell::Cell;
+use std::future::ready;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -14,13 +14,14 @@
 
 use crate::attempt_guard::AttemptGuard;
 use crate::configuration::{Route, Service};
+use crate::dispatches::{DispatchKey, Dispatches, End, Work};
 use crate::events::{
     ATTEMPT_FAILED, ATTEMPT_WITHHELD, ENDPOINT_EJECTED, ENDPOINT_SILENT, NOT_PLACED, PART_TRIED,
     PLACED,
 };
 use crate::node::{Backup, BegunKey, Placement, Search};
 use crate::response::{DEFAULT_RETRY_AFTER, Failure, not_run, not_run_within};
-use crate::send::{ForwardedRequest, SendOutcome, Written, build_request, send};
+use crate::send::{Dispatch, ForwardedRequest, SendOutcome, Written, build_request, send};
 use crate::shared::Shared;
 use crate::wire::{CallFacts, Outbound, Phase};
 
@@ -69,8 +70,8 @@
     pub spared: Vec<EndpointKey>,
     /// Number of times the request was sent to an endpoint.
     pub sends: u32,
-    /// Number of attempts that may have executed the request.
-    pub runs: u32,
+    /// Each time that the request was sent.
+    pub dispatches: Dispatches,
     /// Number of attempts that ended before anything was sent.
     pub not_sent: u32,
     /// Engine that replicates the KV cache of the current run.
@@ -83,8 +84,6 @@
     pub crashes: u32,
     /// Whether the request is the trial of a quarantined prompt part.
     pub trial: bool,
-    /// Whether an endpoint may have executed the request.
-    pub passed_on: Rc<Cell<bool>>,
 }
 
 /// A request on its way to an endpoint; dropping it closes the connection.
@@ -95,6 +94,8 @@
     pub backup: Option<Backup>,
     /// When the request was written.
     pub written: Written,
+    /// Its record.
+    pub key: DispatchKey,
 }
 
 /// Counts a request with a placed attempt until it is dropped.
@@ -270,26 +271,27 @@
     }
 
     /// Sends the request to the endpoint selected by `guard` and waits for the response head.
-    ///
-    /// `resume` is the identifier of the last event that the caller has received.
     pub async fn send(
         &mut self,
         guard: &AttemptGuard,
+        work: Work,
         phase: Phase<'_>,
-        resume: Option<&str>,
     ) -> SendOutcome {
-        let sending = self.begin_send(guard, phase, resume);
+        let sending = self.begin_send(guard, work, phase, None);
         self.backup = sending.backup;
         let sent = sending.outcome.await;
-        self.note_sent(&sent);
+        self.note_sent(sending.key, &sent);
         sent
     }
 
-    /// Starts to send the request to the endpoint selected by `guard`; [`Call::note_sent`] takes the
-    /// outcome into account.
+    /// Starts to send the request to the endpoint selected by `guard`, unless it must not run again;
+    /// [`Call::note_sent`] takes the outcome into account.
+    ///
+    /// `resume` is the identifier of the last event that the caller has received.
     pub fn begin_send(
         &mut self,
         guard: &AttemptGuard,
+        work: Work,
         phase: Phase<'_>,
         resume: Option<&str>,
     ) -> Sending {
@@ -303,23 +305,34 @@
             backup: backup.map(|backup| backup.address),
             resume,
         };
-        if !matches!(phase, Phase::Prefill) {
-            self.passed_on.set(true);
-        }
+        let (kind, attempts) = (self.route.kind, self.route.attempts);
+        let grounds = self.dispatches.grounds(work, kind, attempts);
+        let key = self.dispatches.begin(work);
+        let written = Written::default();
+        let Some(grounds) = grounds else {
+            let sent = SendOutcome::Withheld("the request may have run");
+            return Sending { outcome: Box::pin(ready(sent)), backup: None, written, key };
+        };
         let request = build_request(&self.shared, &self.forwarded, &outbound);
         let (shared, id) = (self.shared.clone(), self.forwarded.id.clone());
-        let written = Written::default();
-        let sending = send(shared, guard.placement.clone(), id, request, written.clone());
-        Sending { outcome: Box::pin(sending), backup, written }
+        let dispatch = Dispatch { id, work, grounds, written: written.clone() };
+        let sending = send(shared, guard.placement.clone(), dispatch, request);
+        Sending { outcome: Box::pin(sending), backup, written, key }
     }
 
-    /// Counts a request that was sent, or that an endpoint has refused.
-    pub fn note_sent(&mut self, sent: &SendOutcome) {
-        if !matches!(sent, SendOutcome::NotSent(_) | SendOutcome::Withheld(_)) {
-            self.sends += 1;
+    /// Records what became of a request that was sent.
+    pub fn note_sent(&mut self, key: DispatchKey, sent: &SendOutcome) {
+        let end = match sent {
+            SendOutcome::NotSent(_) | SendOutcome::Withheld(_) => Some(End::NotWritten),
+            SendOutcome::Refused { .. } => Some(End::Refused),
+            SendOutcome::Unknown(_) => Some(End::Closed),
+            SendOutcome::Responded(_) => None,
+        };
+        if let Some(end) = end {
+            self.dispatches.end(key, end);
         }
-        if !matches!(sent, SendOutcome::Responded(_) | SendOutcome::Unknown(_)) && self.runs == 0 {
-            self.passed_on.set(false);
+        if end != Some(End::NotWritten) {
+            self.sends += 1;
         }
     }
 
@@ -350,13 +363,13 @@
         metrics::counter!("agatestair_serve_silences_total").increment(1);
         log_event!(self.shared.log, ENDPOINT_SILENT, "request" => self.forwarded.id.as_deref(),
             "endpoint" => &*guard.placement.name, "cause" => cause, "events" => events,
-            "runs" => self.runs, "left_ms" => self.remaining().as_millis() as u64,
+            "runs" => self.dispatches.runs(), "left_ms" => self.remaining().as_millis() as u64,
             "ms" => guard.elapsed().as_millis() as u64);
     }
 
     /// Whether the route's kind and its maximum number of attempts allow another run.
     pub fn may_repeat(&self) -> bool {
-        self.route.kind.may_repeat() && self.runs < self.route.attempts
+        self.dispatches.may_repeat(self.route.kind, self.route.attempts)
     }
 
     /// Records an attempt that was not sent although it was placed, and excludes its endpoint from
@@ -384,7 +397,6 @@
                 self.note_failed(guard, FailureKind::Refused, &cause);
             }
             SendOutcome::Unknown(cause) => {
-                self.runs += 1;
                 return self.note_failed(guard, FailureKind::Broken, cause);
             }
             SendOutcome::Responded(_) => unreachable!("a response is not a failed attempt"),
@@ -440,7 +452,7 @@
 
     /// Converts a placement denial into the failure that the caller receives.
     pub fn denial_failure(&self, denial: &Denial) -> Failure {
-        if self.runs > 0 {
+        if self.dispatches.runs() > 0 {
             return Failure::MayHaveRun("no endpoint left".to_owned());
         }
         let cause = match denial.cause {
@@ -476,10 +488,12 @@
             .then(|| not_run(DEFAULT_RETRY_AFTER, "no endpoint can be reached")),
         SendOutcome::Withheld(_) => (!call.may_connect_again())
             .then(|| not_run(DEFAULT_RETRY_AFTER, "endpoints want no work")),
-        SendOutcome::Refused { .. } => (!call.may_send_again()).then(|| match call.runs {
-            0 => not_run(DEFAULT_RETRY_AFTER, "endpoints are full"),
-            _ => Failure::MayHaveRun("a further endpoint refused".to_owned()),
-        }),
+        SendOutcome::Refused { .. } => {
+            (!call.may_send_again()).then(|| match call.dispatches.runs() {
+                0 => not_run(DEFAULT_RETRY_AFTER, "endpoints are full"),
+                _ => Failure::MayHaveRun("a further endpoint refused".to_owned()),
+            })
+        }
         SendOutcome::Unknown(cause) => {
             (!call.may_run_again()).then_some(Failure::MayHaveRun(cause))
         }
--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -60,12 +60,14 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     limit: ReadLimit,
+    /// Local port, by which logs name the connection.
+    port: u16,
     task: TaskGuard,
     idle_limit: Duration,
     last_used: Instant,
     retired: bool,
-    /// Whether it has carried a response.
-    used: bool,
+    /// Number of responses that it has carried.
+    carried: u32,
 }
 
 /// Why a request got no response.
@@ -87,6 +89,7 @@
         let connecting = timeout(settings.connect, TcpStream::connect(address)).await;
         let stream = connecting.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         configure_peer(&stream)?;
+        let port = stream.local_addr()?.port();
         let builder = {
             let mut builder = http1::Builder::new();
             builder.max_buf_size(MAX_HEAD_BYTES);
@@ -104,11 +107,12 @@
         Ok(Self {
             sender,
             limit,
+            port,
             task: TaskGuard(task),
             idle_limit,
             last_used: Instant::now(),
             retired: false,
-            used: false,
+            carried: 0,
         })
     }
 
@@ -125,6 +129,7 @@
         self.limit.set(MAX_HEAD_READ_BYTES);
         let response = self.sender.try_send_request(request).await;
         self.limit.clear();
+        self.carried += u32::from(response.is_ok());
         response.map_err(|mut error| match error.take_message() {
             Some(request) => SendError::NotSent(Box::new(request)),
             None => SendError::Unknown(error.into_error()),
@@ -136,12 +141,17 @@
         if let Some(advertised) = advertised {
             self.idle_limit = advertised.mul_f64(IDLE_SHARE);
         }
-        (self.last_used, self.used) = (Instant::now(), true);
+        self.last_used = Instant::now();
+    }
+
+    /// Local port of the connection.
+    pub fn port(&self) -> u16 {
+        self.port
     }
 
-    /// Whether the connection has carried a response before; further bytes may be left of it.
-    pub fn is_used(&self) -> bool {
-        self.used
+    /// Number of responses that the connection has carried; further bytes may be left of them.
+    pub fn carried(&self) -> u32 {
+        self.carried
     }
 
     /// Excludes the connection from further use, since a later response could not be told from one
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -174,6 +174,14 @@
 /// work on the stream.
 pub const ATTEMPT_WITHDRAWN: Event =
     Event { number: 5062, level: Level::Info, text: "attempt withdrawn" };
+/// A request is written to a connection.
+pub const REQUEST_SENT: Event = Event { number: 5063, level: Level::Info, text: "request sent" };
+/// A kept connection was closed before any of the request was written.
+pub const REQUEST_NOT_BEGUN: Event =
+    Event { number: 5064, level: Level::Info, text: "kept connection closed, request not written" };
+/// An endpoint says that it has not executed a request.
+pub const REQUEST_REFUSED: Event =
+    Event { number: 5065, level: Level::Info, text: "request refused by its endpoint" };
 /// All events of this crate.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -234,4 +242,7 @@
     CALLER_TOO_SLOW,
     REQUEST_FAILED,
     ATTEMPT_WITHDRAWN,
+    REQUEST_SENT,
+    REQUEST_NOT_BEGUN,
+    REQUEST_REFUSED,
 ];
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -17,6 +17,7 @@
 use crate::call::{Call, after_failure};
 use crate::connection::request_once;
 use crate::crash::{note_broken, until_quarantined};
+use crate::dispatches::Work;
 use crate::events::HANDLE_NOT_FREED;
 use crate::node::Search;
 use crate::reach::until_unreachable;
@@ -180,7 +181,7 @@
             Some(handle) => Phase::Decode { source: handle.address, handle: &handle.name },
             None => Phase::Whole,
         };
-        let sending = call.begin_send(&guard, phase, None);
+        let sending = call.begin_send(&guard, Work::Run, phase, None);
         let attempt = Attempt::new(call, search, guard, sending, handle);
         progress.awaited.extend(Some(attempt));
         return Ok(());
@@ -227,14 +228,12 @@
             call.backup = backup;
             let alone = progress.awaited.is_empty();
             if response.status.is_success() && !response.facts.signed && !alone {
-                call.runs += 1;
                 call.note_failed(&guard, FailureKind::Broken, "the answer is not signed");
                 return Step::Wait;
             }
             if !response.status.is_server_error() || !call.route.kind.may_repeat() {
                 return Step::Respond(Box::new((guard, *response)));
             }
-            call.runs += 1;
             call.note_failed(&guard, FailureKind::Failed, "the endpoint failed");
             let again = !progress.awaited.is_promising() && call.may_run_again();
             if !again && alone {
@@ -273,7 +272,7 @@
     let deadline = (Instant::now() + time_limit).min(call.deadline);
     let (shared, probe_delay) = (call.shared.clone(), probe_delay(guard));
     let attempt = async {
-        match call.send(guard, Phase::Prefill, None).await {
+        match call.send(guard, Work::Prefill, Phase::Prefill).await {
             SendOutcome::Responded(response) => receive_handle(call, guard, *response).await,
             other => Err(other),
         }
@@ -346,7 +345,6 @@
     mut guard: AttemptGuard,
     response: EndpointResponse,
 ) -> Result<Response<ResponseBody>, Failure> {
-    call.runs += 1;
     let success = response.status.is_success();
     if success && !response.facts.signed {
         call.note_failed(&guard, FailureKind::Broken, "the answer is not signed");
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -16,6 +16,7 @@
 use crate::body::ResponseBody;
 use crate::call::Call;
 use crate::configuration::{Route, RouteMatch};
+use crate::dispatches::Dispatches;
 use crate::events::{ABANDONED, ANSWERED, ATTEMPT_FAILED, REQUEST_FAILED};
 use crate::generate::generate;
 use crate::open_requests::OpenRequest;
@@ -154,14 +155,13 @@
         tried: Vec::new(),
         spared: Vec::new(),
         sends: 0,
-        runs: 0,
+        dispatches: Dispatches::new(passed_on),
         not_sent: 0,
         backup: None,
         begun: None,
         answering: false,
         crashes: 0,
         trial: false,
-        passed_on,
     };
     let (service, matched) = (call.service.name.clone(), route.clone());
     shared.hub.ask(move |node, now| node.note_first(&service, now));
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -24,6 +24,7 @@
 mod digest;
 mod digests;
 mod directory;
+mod dispatches;
 mod endpoint_list;
 pub mod events;
 mod explain;
--- a/crates/serve/src/plain.rs
+++ b/crates/serve/src/plain.rs
@@ -8,6 +8,7 @@
 use crate::body::ResponseBody;
 use crate::call::{Call, after_failure};
 use crate::crash::{cut_by_crash, note_broken};
+use crate::dispatches::Work;
 use crate::framing::Framing;
 use crate::node::Search;
 use crate::response::{Failure, respond};
@@ -30,7 +31,7 @@
         };
         let deadline = call.deadline;
         let attempt = async {
-            match call.send(&guard, Phase::Whole, None).await {
+            match call.send(&guard, Work::Run, Phase::Whole).await {
                 SendOutcome::Responded(response) => collect(&call, &guard, *response).await,
                 other => Err(other),
             }
@@ -42,7 +43,6 @@
         };
         match outcome {
             Ok(response) if response.status().is_server_error() => {
-                call.runs += 1;
                 call.note_failed(&guard, FailureKind::Failed, "the endpoint failed");
                 if !call.may_run_again() {
                     return Ok(response);
--- a/crates/serve/src/relay/search.rs
+++ b/crates/serve/src/relay/search.rs
@@ -11,6 +11,7 @@
 use crate::awaited::{Attempt, Awaited, News};
 use crate::call::Call;
 use crate::crash::note_broken;
+use crate::dispatches::Work;
 use crate::events::RESUMED;
 use crate::node::Search;
 use crate::send::SendOutcome;
@@ -124,7 +125,8 @@
 ) -> Option<Attempt<()>> {
     // `place` logs denials.
     let guard = call.place(search).ok()?;
-    let sending = call.begin_send(&guard, phase, position.last.as_deref());
+    let work = if matches!(search, Search::Copy(_)) { Work::Copy } else { Work::Run };
+    let sending = call.begin_send(&guard, work, phase, position.last.as_deref());
     Some(Attempt::new(call, search, guard, sending, ()).limit_overlap(OVERLAP))
 }
 
@@ -146,7 +148,6 @@
             response
         }
         SendOutcome::Responded(_) => {
-            call.runs += 1;
             call.note_failed(&guard, FailureKind::Broken, "the stream was not resumed");
             return None;
         }
@@ -158,7 +159,6 @@
             return None;
         }
     };
-    call.runs += 1;
     call.backup = backup;
     guard.note_first();
     log_event!(call.shared.log, RESUMED, "request" => call.forwarded.id.as_deref(),
--- a/crates/serve/src/send.rs
+++ b/crates/serve/src/send.rs
@@ -10,12 +10,16 @@
 use http::header::{CONTENT_ENCODING, HOST};
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::{Duration, Instant, timeout};
 
 use crate::buffer_limit::{BufferGuard, BufferLimit};
 use crate::connection::{Connection, ConnectionSettings, SendError};
-use crate::events::{ENDPOINT_LEAVING, ENDPOINT_LIMITED, ENDPOINT_PAUSED, RESPONSE_MALFORMED};
+use crate::dispatches::{Grounds, Work};
+use crate::events::{
+    ENDPOINT_LEAVING, ENDPOINT_LIMITED, ENDPOINT_PAUSED, REQUEST_NOT_BEGUN, REQUEST_REFUSED,
+    REQUEST_SENT, RESPONSE_MALFORMED,
+};
 use crate::node::Placement;
 use crate::reach::note_unreachable;
 use crate::shared::Shared;
@@ -112,18 +116,30 @@
     }
 }
 
-/// Sends a request to an endpoint and waits for the response head; `written` is set as soon as the
-/// endpoint may work on the request.
+/// How and why a request is sent.
+pub struct Dispatch {
+    /// Identifier of the request.
+    pub id: Option<Rc<str>>,
+    /// What the endpoint is asked for.
+    pub work: Work,
+    /// Why the request may be sent.
+    pub grounds: Grounds,
+    /// Set as soon as the endpoint may work on the request.
+    pub written: Written,
+}
+
+/// Sends a request to an endpoint and waits for the response head.
 ///
 /// Dropping the future closes the connection, which makes the endpoint cancel the request.
 pub async fn send(
     shared: Rc<Shared>,
     placement: Placement,
-    id: Option<Rc<str>>,
+    dispatch: Dispatch,
     mut request: Request<Full<Bytes>>,
-    written: Written,
 ) -> SendOutcome {
     let (shared, placement) = (&shared, &placement);
+    let id = dispatch.id.clone();
+    let bytes = request.body().size_hint().exact();
     let settings = ConnectionSettings::default();
     // The placement spent a request if the endpoint named a rate limit then.
     let mut spent = placement.share.is_some();
@@ -149,10 +165,19 @@
         if !spent {
             return SendOutcome::Withheld("the endpoint's rate limit is reached");
         }
-        written.set(Some(Instant::now()));
+        dispatch.written.set(Some(Instant::now()));
+        log_event!(shared.log, REQUEST_SENT, "request" => id.as_deref(),
+            "endpoint" => &*placement.name, "work" => dispatch.work.label(),
+            "grounds" => dispatch.grounds.label(), "port" => connection.port(),
+            "carried" => connection.carried(), "kept" => !fresh, "bytes" => bytes);
         match connection.send(request).await {
             Ok(response) => break (connection, response),
-            Err(SendError::NotSent(returned)) if !fresh => request = *returned,
+            Err(SendError::NotSent(returned)) if !fresh => {
+                log_event!(shared.log, REQUEST_NOT_BEGUN, "request" => id.as_deref(),
+                    "endpoint" => &*placement.name, "port" => connection.port(),
+                    "carried" => connection.carried());
+                request = *returned;
+            }
             Err(SendError::NotSent(_)) => {
                 return SendOutcome::NotSent("connection closed".to_owned());
             }
@@ -161,7 +186,7 @@
     };
     let (head, body) = response.into_parts();
     let facts = (shared.wire.read_response)(&head.headers);
-    let is_used = connection.is_used();
+    let is_used = connection.carried() > 1;
     connection.note_idle(facts.idle);
     let endpoint = EndpointRef { key: placement.key, name: &placement.name };
     note_availability(shared, endpoint, id.as_deref(), head.status, &facts);
@@ -184,8 +209,13 @@
             // If it were written again, it could not be told from the refusal of a later request.
             connection.retire();
         }
+        let port = connection.port();
         drain_refusal(shared, placement, connection, body).await;
         let moved = head.status == StatusCode::MISDIRECTED_REQUEST;
+        log_event!(shared.log, REQUEST_REFUSED, "request" => id.as_deref(),
+            "endpoint" => &*placement.name, "status" => head.status.as_u16(),
+            "marked" => facts.not_run, "named" => facts.echo.is_some(), "port" => port,
+            "ms" => dispatch.written.get().map(|at| at.elapsed().as_millis() as u64));
         return SendOutcome::Refused { status: head.status, moved };
     }
     if head.headers.contains_key(CONTENT_ENCODING) {
