A stream that must not run again waits until its run is over

Cause: a copy of a run's memory was asked for on beliefs: four gaps of silence, a new connection that was refused or not accepted in time, a connection that the instance itself had closed. None shows that the engine has stopped. The kind is the only one with copies (prompts of the others are too large, or may run again).

Why this works: `Dispatches::is_over` is the only place that allows a copy, and it asks for the end of every run by its own endpoint. Silence no longer starts a search for such streams at all, so that no estimate of time is left in the decision.

--- a/crates/serve/src/awaited.rs
+++ b/crates/serve/src/awaited.rs
@@ -237,11 +237,9 @@
 }
 
 /// Records an attempt to continue a stream that was given up before it has yielded an event, although
-/// it may work on the stream. A copy may be asked again.
+/// it may work on the stream.
 pub fn note_withdrawn(call: &mut Call, guard: &AttemptGuard, search: Search, cause: &str) {
-    if !matches!(search, Search::Copy(_)) {
-        call.tried.push(guard.placement.key);
-    }
+    call.tried.push(guard.placement.key);
     metrics::counter!("agatestair_serve_withdrawn_total").increment(1);
     log_event!(call.shared.log, ATTEMPT_WITHDRAWN, "request" => call.forwarded.id.as_deref(),
         "endpoint" => &*guard.placement.name, "search" => search.label(), "cause" => cause,
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -315,7 +315,7 @@
         };
         let request = build_request(&self.shared, &self.forwarded, &outbound);
         let (shared, id) = (self.shared.clone(), self.forwarded.id.clone());
-        let dispatch = Dispatch { id, work, grounds, written: written.clone() };
+        let dispatch = Dispatch { key, id, work, grounds, written: written.clone() };
         let sending = send(shared, guard.placement.clone(), dispatch, request);
         Sending { outcome: Box::pin(sending), backup, written, key }
     }
--- a/crates/serve/src/dispatches.rs
+++ b/crates/serve/src/dispatches.rs
@@ -34,6 +34,8 @@
     NotWritten,
     /// The endpoint has refused this dispatch.
     Refused,
+    /// The endpoint has ended its response, or its connection.
+    Ended,
     /// The instance has closed the connection, and the endpoint may still work.
     Closed,
 }
@@ -110,11 +112,19 @@
         kind.may_repeat() && self.runs() < attempts
     }
 
+    /// Whether the request was run, and the endpoints themselves have ended all its runs. Silence is no
+    /// evidence of that, nor is a connection that the instance has closed, which an endpoint may
+    /// notice late.
+    pub fn is_over(&self) -> bool {
+        let mut runs = self.all.iter().filter(|record| record.may_run()).peekable();
+        runs.peek().is_some() && runs.all(|record| record.end == Some(End::Ended))
+    }
+
     /// Why the request may be sent to an endpoint now; `None` if it must not.
     pub fn grounds(&self, work: Work, kind: RouteKind, attempts: u32) -> Option<Grounds> {
         match work {
             Work::Prefill => Some(Grounds::NoRun),
-            Work::Copy => Some(Grounds::SameRun),
+            Work::Copy => self.is_over().then_some(Grounds::SameRun),
             Work::Run if self.all.is_empty() => Some(Grounds::First),
             Work::Run if self.runs() == 0 => Some(Grounds::NotRun),
             Work::Run => self.may_repeat(kind, attempts).then_some(Grounds::Repeatable),
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -182,6 +182,9 @@
 /// An endpoint says that it has not executed a request.
 pub const REQUEST_REFUSED: Event =
     Event { number: 5065, level: Level::Info, text: "request refused by its endpoint" };
+/// A broken stream is not continued from the copy of its KV cache.
+pub const COPY_NOT_USED: Event =
+    Event { number: 5066, level: Level::Info, text: "copy of a broken stream not used" };
 /// All events of this crate.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -245,4 +248,5 @@
     REQUEST_SENT,
     REQUEST_NOT_BEGUN,
     REQUEST_REFUSED,
+    COPY_NOT_USED,
 ];
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -169,7 +169,8 @@
 ) -> Result<(), Stop> {
     let stall = (call.route.max_gap * STALL_FACTOR).max(call.route.objective * 2);
     loop {
-        let may_move = call.may_repeat() || call.backup.is_some();
+        // A stream that must not run again waits until its run has ended.
+        let may_move = call.may_repeat();
         let cutoff =
             if may_move { (run.progress + stall).min(call.deadline) } else { call.deadline };
         let (placement, alone) = (run.guard.placement.clone(), run.alone);
@@ -215,13 +216,14 @@
     if matches!(stop, Stop::TimedOut) {
         call.note_duration();
     }
+    let over = stop.end();
     let (end, cause) = stop.describe();
-    if end == "broken" {
+    if let Some(over) = over {
         let position = Position::of(&run, events);
-        // Closing the connection ends this run before another one starts.
-        let Run { guard, begun, body, connection, .. } = run;
+        let Run { guard, begun, body, connection, dispatch, .. } = run;
         let answering = begun.elapsed();
         drop((body, connection));
+        call.dispatches.end(dispatch, over);
         call.note_failed(&guard, FailureKind::Broken, &cause);
         note_broken(call, &guard, Some(answering)).await;
         drop(guard);
--- a/crates/serve/src/relay/run.rs
+++ b/crates/serve/src/relay/run.rs
@@ -1,5 +1,6 @@
 //! One endpoint's part of an event stream.
 
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use crate::call::Call;
 use crate::connection::Connection;
 use crate::crash::cut_by_crash;
+use crate::dispatches::{DispatchKey, End};
 use crate::framing::Framing;
 use crate::send::EndpointResponse;
 use crate::shared::Shared;
@@ -33,6 +35,8 @@
     pub body: Incoming,
     /// Connection of the response.
     pub connection: Connection,
+    /// Record of the dispatch that began it.
+    pub dispatch: DispatchKey,
     /// Idle time after which the endpoint closes the connection, if it names one.
     pub idle: Option<Duration>,
     /// When the response head arrived.
@@ -60,6 +64,7 @@
             begin,
             body: response.body,
             connection: response.connection,
+            dispatch: response.dispatch,
             idle: response.facts.idle,
             begun: Instant::now(),
             progress: Instant::now(),
@@ -97,19 +102,48 @@
     CallerGone,
     /// The request's deadline has passed.
     TimedOut,
-    /// The stream failed or was invalid.
+    /// The endpoint has ended the stream early.
     Broken(String),
+    /// The instance gives the run up, since the response is invalid or its connection was lost.
+    Invalid(String),
     /// Nothing has come for a while; the run may go on.
     Silent(&'static str),
 }
 
 impl Stop {
+    /// Why the body of a response has failed.
+    ///
+    /// A connection that the kernel has given up shows nothing of the endpoint, and one with invalid
+    /// bytes is closed by the instance.
+    pub fn of(error: &hyper::Error) -> Self {
+        use io::ErrorKind::{BrokenPipe, ConnectionAborted, ConnectionReset, UnexpectedEof};
+        let source = std::error::Error::source(error);
+        let kind =
+            source.and_then(|source| source.downcast_ref::<io::Error>()).map(io::Error::kind);
+        let ends = [BrokenPipe, ConnectionAborted, ConnectionReset, UnexpectedEof];
+        let cause = error.to_string();
+        if error.is_incomplete_message() || kind.is_some_and(|kind| ends.contains(&kind)) {
+            Self::Broken(cause)
+        } else {
+            Self::Invalid(cause)
+        }
+    }
+
+    /// How the run has ended, if it has.
+    pub fn end(&self) -> Option<End> {
+        match self {
+            Self::Broken(_) => Some(End::Ended),
+            Self::Invalid(_) => Some(End::Closed),
+            Self::CallerGone | Self::TimedOut | Self::Silent(_) => None,
+        }
+    }
+
     /// Label of the end in metrics and logs, and its cause.
     pub fn describe(self) -> (&'static str, String) {
         match self {
             Self::CallerGone => ("left", "the caller disconnected".to_owned()),
             Self::TimedOut => ("late", "the request timed out".to_owned()),
-            Self::Broken(cause) => ("broken", cause),
+            Self::Broken(cause) | Self::Invalid(cause) => ("broken", cause),
             Self::Silent(cause) => ("silent", cause.to_owned()),
         }
     }
@@ -143,14 +177,14 @@
                 None => Ok(Part::End(events.take_rest())),
             };
         }
-        Some(Err(error)) => return Err(Stop::Broken(error.to_string())),
+        Some(Err(error)) => return Err(Stop::of(&error)),
         Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
     };
-    let complete = events.push(&bytes).map_err(|error| Stop::Broken(error.to_string()))?;
+    let complete = events.push(&bytes).map_err(|error| Stop::Invalid(error.to_string()))?;
     // Complete events are passed on first; the next read finds the limit again.
     if !buffer.set(events.capacity()) && complete.is_empty() {
         let cause = format!("memory limit reached by an event of {} bytes", events.pending());
-        return Err(Stop::Broken(cause));
+        return Err(Stop::Invalid(cause));
     }
     Ok(if complete.is_empty() { Part::Incomplete } else { Part::Events(complete) })
 }
--- a/crates/serve/src/relay/search.rs
+++ b/crates/serve/src/relay/search.rs
@@ -12,7 +12,7 @@
 use crate::call::Call;
 use crate::crash::note_broken;
 use crate::dispatches::Work;
-use crate::events::RESUMED;
+use crate::events::{COPY_NOT_USED, RESUMED};
 use crate::node::Search;
 use crate::send::SendOutcome;
 use crate::stream::EventSplitter;
@@ -100,10 +100,19 @@
 }
 
 /// Continues a run on the engine that replicates its KV cache. This is the same run, so it is
-/// allowed for requests that must not run again, too.
+/// allowed for requests that must not run again, too, once the former engine has ended it.
+///
+/// Before the first event there is nothing to continue: the request would be taken for a new run.
 fn begin_copy(call: &mut Call, position: &Position) -> Option<Attempt<()>> {
     let backup = call.backup.take()?;
     let handle = call.forwarded.id.as_deref().map(HandleName::from)?;
+    if position.last.is_none() || !call.dispatches.is_over() {
+        let cause =
+            if position.last.is_none() { "no event yet" } else { "the run may not be over" };
+        log_event!(call.shared.log, COPY_NOT_USED, "request" => call.forwarded.id.as_deref(),
+            "cause" => cause, "events" => position.events);
+        return None;
+    }
     if !call.may_send_again() {
         return None;
     }
--- a/crates/serve/src/relay/takeover.rs
+++ b/crates/serve/src/relay/takeover.rs
@@ -56,7 +56,6 @@
     chunks: &mpsc::Sender<Chunk>,
 ) -> Takeover {
     let (shared, position) = (call.shared.clone(), Position::of(run, events));
-    let mut copy = call.backup;
     // A run that has broken is not read again: its body would seem to end in good order.
     let mut broken = None;
     let key = run.guard.placement.key;
@@ -100,7 +99,6 @@
                     }
                     Handover::Failed(next, cause) => {
                         call.note_failed(&next.guard, FailureKind::Broken, &cause);
-                        (call.backup, copy) = (None, None);
                     }
                     Handover::Withdrawn(next) => {
                         note_withdrawn(call, &next.guard, search, "no event in time");
@@ -109,10 +107,7 @@
                 }
             }
             Err(part) => match broken {
-                Some(stop) => {
-                    call.backup = call.backup.or(copy);
-                    return Takeover::Ended(stop);
-                }
+                Some(stop) => return Takeover::Ended(stop),
                 None => break part,
             },
         }
@@ -123,8 +118,6 @@
             "ms" => run.progress.elapsed().as_millis() as u64);
     }
     call.retry_spared();
-    // An engine that was given up may not have used the copy.
-    call.backup = call.backup.or(copy);
     (run.progress, run.alone) = (Instant::now(), true);
     Takeover::Same(part)
 }
--- a/crates/serve/src/send.rs
+++ b/crates/serve/src/send.rs
@@ -15,7 +15,7 @@
 
 use crate::buffer_limit::{BufferGuard, BufferLimit};
 use crate::connection::{Connection, ConnectionSettings, SendError};
-use crate::dispatches::{Grounds, Work};
+use crate::dispatches::{DispatchKey, Grounds, Work};
 use crate::events::{
     ENDPOINT_LEAVING, ENDPOINT_LIMITED, ENDPOINT_PAUSED, REQUEST_NOT_BEGUN, REQUEST_REFUSED,
     REQUEST_SENT, RESPONSE_MALFORMED,
@@ -61,6 +61,8 @@
     pub body: Incoming,
     /// The connection that carries the response.
     pub connection: Connection,
+    /// Record of the dispatch that it answers.
+    pub dispatch: DispatchKey,
 }
 
 /// Outcome of sending a request to an endpoint.
@@ -118,6 +120,8 @@
 
 /// How and why a request is sent.
 pub struct Dispatch {
+    /// Its record.
+    pub key: DispatchKey,
     /// Identifier of the request.
     pub id: Option<Rc<str>>,
     /// What the endpoint is asked for.
@@ -227,6 +231,7 @@
         facts,
         body,
         connection,
+        dispatch: dispatch.key,
     }))
 }
 
