A copy is used only if the process of its engine is gone

Cause: the end of a connection was taken for the end of the run. A reset on the path reaches an engine that is preempted only when it looks at its socket again, and an engine that broke off an answer may work on.

Why this works: a copy is asked for only if the engine has ended the connection and its address refuses a new one, so that the process that ran the request is gone.

--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -325,7 +325,7 @@
         let end = match sent {
             SendOutcome::NotSent(_) | SendOutcome::Withheld(_) => Some(End::NotWritten),
             SendOutcome::Refused { .. } => Some(End::Refused),
-            SendOutcome::Unknown(_) => Some(End::Closed),
+            SendOutcome::Unknown(_) => Some(End::Unsure),
             SendOutcome::Responded(_) => None,
         };
         if let Some(end) = end {
--- a/crates/serve/src/crash.rs
+++ b/crates/serve/src/crash.rs
@@ -83,6 +83,11 @@
     crashed.then_some("the endpoint crashed as it ended a body without a length")
 }
 
+/// Whether no process listens at the endpoint's address any more.
+pub async fn is_gone(shared: &Shared, guard: &AttemptGuard) -> bool {
+    refusal(shared, guard).await.is_some()
+}
+
 /// The error of a new connection if no process listens at the endpoint's address any more.
 async fn refusal(shared: &Shared, guard: &AttemptGuard) -> Option<io::Error> {
     let settings = ConnectionSettings { connect: CHECK_TIME, ..ConnectionSettings::default() };
--- a/crates/serve/src/dispatches.rs
+++ b/crates/serve/src/dispatches.rs
@@ -34,10 +34,10 @@
     NotWritten,
     /// The endpoint has refused this dispatch.
     Refused,
-    /// The endpoint has ended its response, or its connection.
-    Ended,
-    /// The instance has closed the connection, and the endpoint may still work.
-    Closed,
+    /// The endpoint has ended the connection, and its process accepts no other.
+    Gone,
+    /// The connection has ended, and the endpoint may still work.
+    Unsure,
 }
 
 /// Key of a dispatch.
@@ -112,12 +112,11 @@
         kind.may_repeat() && self.runs() < attempts
     }
 
-    /// Whether the request was run, and the endpoints themselves have ended all its runs. Silence is no
-    /// evidence of that, nor is a connection that the instance has closed, which an endpoint may
-    /// notice late.
+    /// Whether the request was run, and the processes that ran it are gone. Silence is no evidence of
+    /// that, nor is the end of a connection, which an endpoint may notice late.
     pub fn is_over(&self) -> bool {
         let mut runs = self.all.iter().filter(|record| record.may_run()).peekable();
-        runs.peek().is_some() && runs.all(|record| record.end == Some(End::Ended))
+        runs.peek().is_some() && runs.all(|record| record.end == Some(End::Gone))
     }
 
     /// Why the request may be sent to an endpoint now; `None` if it must not.
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -20,7 +20,8 @@
 use crate::body::{Chunk, QUEUED_CHUNKS, ResponseBody};
 use crate::buffer_limit::BufferGuard;
 use crate::call::Call;
-use crate::crash::{cut_by_crash, note_broken, note_survived};
+use crate::crash::{cut_by_crash, is_gone, note_broken, note_survived};
+use crate::dispatches::End;
 use crate::events::{ATTEMPT_FAILED, REQUEST_FAILED, STREAMED};
 use crate::framing::Framing;
 use crate::panics::catch_panic;
@@ -216,14 +217,15 @@
     if matches!(stop, Stop::TimedOut) {
         call.note_duration();
     }
-    let over = stop.end();
+    let ended = matches!(stop, Stop::Broken(_));
     let (end, cause) = stop.describe();
-    if let Some(over) = over {
+    if end == "broken" {
         let position = Position::of(&run, events);
         let Run { guard, begun, body, connection, dispatch, .. } = run;
         let answering = begun.elapsed();
         drop((body, connection));
-        call.dispatches.end(dispatch, over);
+        let is_gone = ended && call.backup.is_some() && is_gone(&call.shared, &guard).await;
+        call.dispatches.end(dispatch, if is_gone { End::Gone } else { End::Unsure });
         call.note_failed(&guard, FailureKind::Broken, &cause);
         note_broken(call, &guard, Some(answering)).await;
         drop(guard);
--- a/crates/serve/src/relay/run.rs
+++ b/crates/serve/src/relay/run.rs
@@ -18,7 +18,7 @@
 use crate::call::Call;
 use crate::connection::Connection;
 use crate::crash::cut_by_crash;
-use crate::dispatches::{DispatchKey, End};
+use crate::dispatches::DispatchKey;
 use crate::framing::Framing;
 use crate::send::EndpointResponse;
 use crate::shared::Shared;
@@ -129,15 +129,6 @@
         }
     }
 
-    /// How the run has ended, if it has.
-    pub fn end(&self) -> Option<End> {
-        match self {
-            Self::Broken(_) => Some(End::Ended),
-            Self::Invalid(_) => Some(End::Closed),
-            Self::CallerGone | Self::TimedOut | Self::Silent(_) => None,
-        }
-    }
-
     /// Label of the end in metrics and logs, and its cause.
     pub fn describe(self) -> (&'static str, String) {
         match self {
