An engine that accepts no new connection may still work on a stream

What callers saw: nothing; two engines worked on a stream that may be resumed for 0.75 to 1.0 s (the users' rule: 0.4 s).

Cause: one refused or late connection marks an endpoint as unreachable for the whole instance, and ended the limit on the time for which another endpoint may work beside it. An engine that is leaving closes its listener and goes on; one that stood still goes on before it is connected to again.

Why this works: only the end of the run's own connection lifts the limit.

--- a/crates/serve/src/relay/takeover.rs
+++ b/crates/serve/src/relay/takeover.rs
@@ -58,10 +58,10 @@
     let (shared, position) = (call.shared.clone(), Position::of(run, events));
     // A run that has broken is not read again: its body would seem to end in good order.
     let mut broken = None;
-    let key = run.guard.placement.key;
+    // Only the end of its connection shows that the run may be over: an endpoint that accepts no new
+    // connection may go on.
     let is_open = Cell::new(true);
-    let at_work =
-        || is_open.get() && !shared.hub.ask(move |node, _| node.board.is_unreachable(key));
+    let at_work = || is_open.get();
     let part = loop {
         let next = {
             let search = search(call, &position, &at_work);
