A request goes to the same endpoint a second time on a new connection

What callers saw: nothing; an engine worked unseen on a stream for 0.91 s beside the one that went on.

Cause: a late second copy of a refusal names the same request as the attempt that follows on the connection, and was taken for its answer.

Why this works: on a new connection there is nothing left of an earlier answer.

--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -307,7 +307,8 @@
         };
         let (kind, attempts) = (self.route.kind, self.route.attempts);
         let grounds = self.dispatches.grounds(work, kind, attempts);
-        let key = self.dispatches.begin(work);
+        let may_reuse = !self.dispatches.has_reached(guard.placement.key);
+        let key = self.dispatches.begin(work, guard.placement.key);
         let written = Written::default();
         let Some(grounds) = grounds else {
             let sent = SendOutcome::Withheld("the request may have run");
@@ -315,7 +316,7 @@
         };
         let request = build_request(&self.shared, &self.forwarded, &outbound);
         let (shared, id) = (self.shared.clone(), self.forwarded.id.clone());
-        let dispatch = Dispatch { key, id, work, grounds, written: written.clone() };
+        let dispatch = Dispatch { key, id, work, grounds, may_reuse, written: written.clone() };
         let sending = send(shared, guard.placement.clone(), dispatch, request);
         Sending { outcome: Box::pin(sending), backup, written, key }
     }
--- a/crates/serve/src/dispatches.rs
+++ b/crates/serve/src/dispatches.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use agatestair_policy::EndpointKey;
+
 use crate::configuration::RouteKind;
 
 /// What an endpoint is asked for.
@@ -48,6 +50,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Record {
     work: Work,
+    endpoint: EndpointKey,
     /// How it has ended; `None` while the endpoint may work on it.
     end: Option<End>,
 }
@@ -130,9 +133,16 @@
         }
     }
 
+    /// Whether an endpoint may have got the request before. A late answer to that dispatch names the
+    /// request, too, and may come on a connection that is kept.
+    pub fn has_reached(&self, endpoint: EndpointKey) -> bool {
+        let mut reached = self.all.iter().filter(|record| record.end != Some(End::NotWritten));
+        reached.any(|record| record.endpoint == endpoint)
+    }
+
     /// Records that the request is about to be sent.
-    pub fn begin(&mut self, work: Work) -> DispatchKey {
-        self.all.push(Record { work, end: None });
+    pub fn begin(&mut self, work: Work, endpoint: EndpointKey) -> DispatchKey {
+        self.all.push(Record { work, endpoint, end: None });
         self.note_change();
         DispatchKey(self.all.len() - 1)
     }
--- a/crates/serve/src/send.rs
+++ b/crates/serve/src/send.rs
@@ -128,6 +128,8 @@
     pub work: Work,
     /// Why the request may be sent.
     pub grounds: Grounds,
+    /// Whether a kept connection may carry it.
+    pub may_reuse: bool,
     /// Set as soon as the endpoint may work on the request.
     pub written: Written,
 }
@@ -148,7 +150,7 @@
     // The placement spent a request if the endpoint named a rate limit then.
     let mut spent = placement.share.is_some();
     let (mut connection, response) = loop {
-        let pooled = shared.pool.take(placement.key);
+        let pooled = if dispatch.may_reuse { shared.pool.take(placement.key) } else { None };
         let fresh = pooled.is_none();
         let mut connection = match pooled {
             Some(connection) => connection,
