A refusal is believed only if it names the request and says so

What callers saw: a request that must run once ran at two engines, or was answered 503, 429 or 408 although it had run.

Cause: the first response on a connection was believed without an identifier, and a status alone was passed on as the caller's promise.

Why this works: one function says which refusals are doubted; what is doubted may have run. The caller gets 502, or another attempt where the request may run again.

--- a/crates/serve/src/send.rs
+++ b/crates/serve/src/send.rs
@@ -192,16 +192,14 @@
     };
     let (head, body) = response.into_parts();
     let facts = (shared.wire.read_response)(&head.headers);
-    let is_used = connection.carried() > 1;
     connection.note_idle(facts.idle);
     let endpoint = EndpointRef { key: placement.key, name: &placement.name };
     note_availability(shared, endpoint, id.as_deref(), head.status, &facts);
     if facts.echo.is_some() && facts.echo.as_deref() != id.as_deref() {
         return SendOutcome::Unknown("the answer belongs to another request".to_owned());
     }
-    if is_used && id.is_some() && facts.echo.is_none() && promises(head.status, &facts) {
-        // Additional bytes after the response before may look like this.
-        return SendOutcome::Unknown("a refusal that names no request".to_owned());
+    if let Some(cause) = doubt(id.as_deref(), head.status, &facts) {
+        return SendOutcome::Unknown(cause.to_owned());
     }
     if let Some(pace) = facts.pace {
         let key = placement.key;
@@ -237,15 +235,21 @@
     }))
 }
 
-/// Whether a response promises that its request has not run.
-fn promises(status: StatusCode, facts: &ResponseFacts) -> bool {
+/// Why a response whose status promises that its request has not run is not believed, if it is not.
+///
+/// Only a refusal that names the request belongs to it, and only its mark, or status 421, states that
+/// the request was not executed.
+fn doubt(id: Option<&str>, status: StatusCode, facts: &ResponseFacts) -> Option<&'static str> {
     let statuses = [
         StatusCode::REQUEST_TIMEOUT,
-        StatusCode::MISDIRECTED_REQUEST,
         StatusCode::TOO_MANY_REQUESTS,
         StatusCode::SERVICE_UNAVAILABLE,
     ];
-    facts.not_run || statuses.contains(&status)
+    let is_marked = facts.not_run || status == StatusCode::MISDIRECTED_REQUEST;
+    if is_marked && id.is_some() && facts.echo.is_none() {
+        return Some("a refusal that names no request");
+    }
+    (!is_marked && statuses.contains(&status)).then_some("a refusal that does not say so")
 }
 
 /// Builds the request for an endpoint from that of the caller.
