A status alone is doubted only for requests that must run once

Seen by the review, by reading: an idempotent request that is answered 429 or 408 without the mark was sent again at once, and counted against its endpoint; REFUSED does not speak of these. They are passed on as before.

--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -306,6 +306,7 @@
             resume,
         };
         let (kind, attempts) = (self.route.kind, self.route.attempts);
+        let may_repeat = kind.may_repeat();
         let grounds = self.dispatches.grounds(work, kind, attempts);
         let may_reuse = !self.dispatches.has_reached(guard.placement.key);
         let key = self.dispatches.begin(work, guard.placement.key);
@@ -316,7 +317,8 @@
         };
         let request = build_request(&self.shared, &self.forwarded, &outbound);
         let (shared, id) = (self.shared.clone(), self.forwarded.id.clone());
-        let dispatch = Dispatch { key, id, work, grounds, may_reuse, written: written.clone() };
+        let dispatch =
+            Dispatch { key, id, work, grounds, may_reuse, may_repeat, written: written.clone() };
         let sending = send(shared, guard.placement.clone(), dispatch, request);
         Sending { outcome: Box::pin(sending), backup, written, key }
     }
--- a/crates/serve/src/send.rs
+++ b/crates/serve/src/send.rs
@@ -130,6 +130,8 @@
     pub grounds: Grounds,
     /// Whether a kept connection may carry it.
     pub may_reuse: bool,
+    /// Whether a request of its kind may run more than once.
+    pub may_repeat: bool,
     /// Set as soon as the endpoint may work on the request.
     pub written: Written,
 }
@@ -198,7 +200,7 @@
     if facts.echo.is_some() && facts.echo.as_deref() != id.as_deref() {
         return SendOutcome::Unknown("the answer belongs to another request".to_owned());
     }
-    if let Some(cause) = doubt(id.as_deref(), head.status, &facts) {
+    if let Some(cause) = doubt(&dispatch, head.status, &facts) {
         return SendOutcome::Unknown(cause.to_owned());
     }
     if let Some(pace) = facts.pace {
@@ -238,18 +240,19 @@
 /// Why a response whose status promises that its request has not run is not believed, if it is not.
 ///
 /// Only a refusal that names the request belongs to it, and only its mark, or status 421, states that
-/// the request was not executed.
-fn doubt(id: Option<&str>, status: StatusCode, facts: &ResponseFacts) -> Option<&'static str> {
+/// the request was not executed. A status alone is passed on where the request may run again.
+fn doubt(dispatch: &Dispatch, status: StatusCode, facts: &ResponseFacts) -> Option<&'static str> {
     let statuses = [
         StatusCode::REQUEST_TIMEOUT,
         StatusCode::TOO_MANY_REQUESTS,
         StatusCode::SERVICE_UNAVAILABLE,
     ];
     let is_marked = facts.not_run || status == StatusCode::MISDIRECTED_REQUEST;
-    if is_marked && id.is_some() && facts.echo.is_none() {
+    if is_marked && dispatch.id.is_some() && facts.echo.is_none() {
         return Some("a refusal that names no request");
     }
-    (!is_marked && statuses.contains(&status)).then_some("a refusal that does not say so")
+    let is_doubtful = !is_marked && !dispatch.may_repeat && statuses.contains(&status);
+    is_doubtful.then_some("a refusal that does not say so")
 }
 
 /// Builds the request for an endpoint from that of the caller.
