A request that must not be sent again is never answered as not run

Seen by the review, by reading: the guard in begin_send, which no path reaches today, ended as "nothing was sent", which after a few tries becomes a 503. It is an attempt that may have run: 502.

--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -312,7 +312,7 @@
         let key = self.dispatches.begin(work, guard.placement.key);
         let written = Written::default();
         let Some(grounds) = grounds else {
-            let sent = SendOutcome::Withheld("the request may have run");
+            let sent = SendOutcome::Unknown("the request may have run before".to_owned());
             return Sending { outcome: Box::pin(ready(sent)), backup: None, written, key };
         };
         let request = build_request(&self.shared, &self.forwarded, &outbound);
