--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -170,7 +170,7 @@
 ) -> Result<(), Stop> {
     let stall = (call.route.max_gap * STALL_FACTOR).max(call.route.objective * 2);
     loop {
-        // A stream that must not run again waits until its run has ended.
+        // Silence does not show that a run is over, so that one that must not run again goes on.
         let may_move = call.may_repeat();
         let cutoff =
             if may_move { (run.progress + stall).min(call.deadline) } else { call.deadline };
--- a/crates/serve/src/relay/search.rs
+++ b/crates/serve/src/relay/search.rs
@@ -100,7 +100,7 @@
 }
 
 /// Continues a run on the engine that replicates its KV cache. This is the same run, so it is
-/// allowed for requests that must not run again, too, once the former engine has ended it.
+/// allowed for requests that must not run again, too, once the process of the former engine is gone.
 ///
 /// Before the first event there is nothing to continue: the request would be taken for a new run.
 fn begin_copy(call: &mut Call, position: &Position) -> Option<Attempt<()>> {
