Customers' API keys, proofs that they are current, and a holder of duties

Cause: configurations may list customers with keys; keys were passed on to endpoints, unknown and withdrawn ones ran, and nobody performed the duties at the platform's API.

Change: requests are admitted by key, endpoints get the customer's name, and each instance knows up to which time of the store's clock it certainly knows all withdrawals (`Freshness`). One instance holds the duties by a row of the store; each act is committed under the condition that the row is unchanged.

--- a/crates/policy/src/board/request.rs
+++ b/crates/policy/src/board/request.rs
@@ -96,6 +96,10 @@
     Quarantined,
     /// The instance is shutting down, and the work may not end before it exits.
     Stopping,
+    /// The caller's API key was withdrawn.
+    Withdrawn,
+    /// A withdrawal of the caller's API key may be unknown to the instance.
+    Unproven,
 }
 
 /// An attempt cannot be placed now.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 mod demand;
 mod durations;
 mod fleet;
+mod freshness;
 mod keys;
 mod mix;
 mod moment;
@@ -28,10 +29,12 @@
 mod size;
 mod speed;
 mod straggler;
+mod tenure;
 
 pub use action::{Action, AttemptEnd, Purpose, Refusal, RefusalCode};
 pub use budget::Budget;
 pub use durations::Durations;
+pub use freshness::{Freshness, Proof, StoreClock};
 pub use keys::{AttemptKey, EndpointKey, RequestKey};
 pub use moment::Moment;
 pub use quarantine::{
@@ -47,3 +50,4 @@
     SchedulerSettings,
 };
 pub use shares::{ShareAllocator, ShareSettings};
+pub use tenure::{HolderRow, Tenure, TenureStep, Tenures};
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -14,13 +14,17 @@
 
 use crate::attempt_guard::AttemptGuard;
 use crate::configuration::{Route, Service};
+use crate::customers::{Access, Credential, Customer};
 use crate::dispatches::{DispatchKey, Dispatches, End, Work};
 use crate::events::{
     ATTEMPT_FAILED, ATTEMPT_WITHHELD, ENDPOINT_EJECTED, ENDPOINT_SILENT, NOT_PLACED, PART_TRIED,
     PLACED,
 };
 use crate::node::{Backup, BegunKey, Placement, Search};
-use crate::response::{DEFAULT_RETRY_AFTER, Failure, not_run, not_run_within};
+use crate::proof::boot_now;
+use crate::response::{
+    DEFAULT_RETRY_AFTER, ELSEWHERE_RETRY_AFTER, Failure, not_run, not_run_within,
+};
 use crate::send::{Dispatch, ForwardedRequest, SendOutcome, Written, build_request, send};
 use crate::shared::Shared;
 use crate::wire::{CallFacts, Outbound, Phase};
@@ -54,6 +58,10 @@
     pub forwarded: ForwardedRequest,
     /// Values from the system's request headers.
     pub facts: CallFacts,
+    /// API key of the request.
+    pub credential: Credential,
+    /// Customer that holds the key, if keys are checked.
+    pub customer: Option<Arc<Customer>>,
     /// Route that the request matched.
     pub route: Arc<Route>,
     /// Service that handles the request.
@@ -143,12 +151,18 @@
             objective: self.remaining(),
             max_wait: self.remaining(),
             tried: self.tried.clone(),
-            rank: self.route.rank,
+            rank: self.rank(),
             draw: rand::rng().random(),
             ..PlacementRequest::default()
         }
     }
 
+    /// Priority among the requests of the service: that of the customer, or else of the route.
+    pub fn rank(&self) -> u8 {
+        let own = self.customer.as_ref().and_then(|customer| customer.rank);
+        own.unwrap_or(self.route.rank)
+    }
+
     /// Time until the deadline, zero once it has passed.
     pub fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -167,6 +181,7 @@
     ///
     /// Returns a [`Denial`] if no endpoint can take the attempt.
     pub fn place(&mut self, search: Search) -> Result<AttemptGuard, Denial> {
+        self.check_key(search)?;
         self.check_quarantine(search)?;
         let mut request = self.placement_request();
         if matches!(search, Search::Run { .. }) && self.sends == 0 {
@@ -201,6 +216,23 @@
         }
     }
 
+    /// Denies an attempt if the caller's key was withdrawn since the request was accepted.
+    fn check_key(&self, search: Search) -> Result<(), Denial> {
+        let Some(customer) = self.customer.clone() else { return Ok(()) };
+        let (route, credential) = (self.route.clone(), self.credential);
+        let access =
+            self.shared.hub.ask(move |node, _| node.access(&route, credential, boot_now()));
+        let cause = match access {
+            Access::Unchecked | Access::Anonymous => return Ok(()),
+            Access::Granted(holder) if holder.name == customer.name => return Ok(()),
+            Access::Granted(_) | Access::Denied(_) => DenialCause::Withdrawn,
+            Access::Unproven => DenialCause::Unproven,
+        };
+        let denial = Denial { cause, retry_after: ELSEWHERE_RETRY_AFTER };
+        self.log_denial(search, &denial, None, None);
+        Err(denial)
+    }
+
     /// Denies an attempt if a part of the prompt is quarantined, unless the request is the part's
     /// trial.
     fn check_quarantine(&mut self, search: Search) -> Result<(), Denial> {
@@ -299,11 +331,12 @@
         let outbound = Outbound {
             deadline: self.remaining(),
             endpoint: &guard.placement.name,
-            rank: self.route.rank,
+            rank: self.rank(),
             phase,
             fetch: guard.placement.fetch,
             backup: backup.map(|backup| backup.address),
             resume,
+            customer: self.customer.as_ref().map(|customer| &*customer.name),
         };
         let (kind, attempts) = (self.route.kind, self.route.attempts);
         let may_repeat = kind.may_repeat();
@@ -462,6 +495,8 @@
             DenialCause::NoEndpoint => "no endpoint takes work",
             DenialCause::TooLate => "no endpoint can answer in time",
             DenialCause::Quarantined => "a part of the prompt crashes endpoints",
+            DenialCause::Withdrawn => return Failure::Unauthorized("the API key was withdrawn"),
+            DenialCause::Unproven => return Failure::unproven(),
             DenialCause::Stopping => {
                 let (retry_after, cause) = (denial.retry_after, "the instance is shutting down");
                 if retry_after >= DEFAULT_RETRY_AFTER {
--- a/crates/serve/src/configuration.rs
+++ b/crates/serve/src/configuration.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::customers::Customers;
+
 /// Shortest time after which callers abandon a stream that has not begun. The time of a route is
 /// the longest of this one, [`PATIENCE_OBJECTIVES`] times the objective and [`PATIENCE_GAPS`]
 /// times the longest gap.
@@ -72,6 +74,8 @@
     pub targets: Vec<Target>,
     /// Largest number of endpoints that one request is sent to.
     pub attempts: u32,
+    /// Whether requests need no API key.
+    pub public: bool,
 }
 
 impl Route {
@@ -125,6 +129,23 @@
     pub connections: Option<u32>,
     /// Properties of its engines, if it is a model service.
     pub engine: Option<EngineFacts>,
+    /// How many of its endpoints may be ordered, if they can be.
+    pub scaling: Option<Scaling>,
+}
+
+/// How many endpoints of a service may be ordered, and at what price.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Scaling {
+    /// Smallest number in each failure domain.
+    pub least: u32,
+    /// Largest number in each failure domain.
+    pub most: u32,
+    /// Time until a new endpoint serves.
+    pub boot: Duration,
+    /// Price of an endpoint that may be reclaimed, relative to that of a standing one.
+    pub reclaimable_price: f64,
+    /// Relative price of an endpoint, by failure domain.
+    pub prices: HashMap<Arc<str>, f64>,
 }
 
 /// Limits on requests of callers.
@@ -168,6 +189,8 @@
     pub services: HashMap<Arc<str>, Arc<Service>>,
     /// Limits on requests.
     pub limits: Limits,
+    /// Customers, if requests need an API key.
+    pub customers: Option<Customers>,
     hosts: HashMap<Arc<str>, Vec<Arc<Route>>>,
 }
 
@@ -201,7 +224,7 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), Arc::new(s))).collect();
-        Self { version, services, limits, hosts }
+        Self { version, services, limits, customers: None, hosts }
     }
 
     /// All routes.
--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -36,12 +36,19 @@
     pub connect: Duration,
     /// Idle time after which a connection is not reused, unless the peer gives its own.
     pub idle: Duration,
+    /// Whether the connection is reset when it is closed, so that nothing that is still to be sent is
+    /// delivered later.
+    pub reset: bool,
 }
 
 impl Default for ConnectionSettings {
     fn default() -> Self {
         // A lost SYN is retransmitted only after a second; opening a new connection is faster.
-        Self { connect: Duration::from_millis(400), idle: Duration::from_millis(2000) }
+        Self {
+            connect: Duration::from_millis(400),
+            idle: Duration::from_millis(2000),
+            reset: false,
+        }
     }
 }
 
@@ -89,6 +96,9 @@
         let connecting = timeout(settings.connect, TcpStream::connect(address)).await;
         let stream = connecting.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         configure_peer(&stream)?;
+        if settings.reset {
+            stream.set_zero_linger()?;
+        }
         let port = stream.local_addr()?.port();
         let builder = {
             let mut builder = http1::Builder::new();
--- a/crates/serve/src/datagram.rs
+++ b/crates/serve/src/datagram.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use agatestair_policy::Proof;
 use agatestair_policy::board::{EndpointReport, LimitReport, Load};
 use bincode::de::Decoder;
 use bincode::enc::Encoder;
@@ -43,6 +44,10 @@
     Digest(Digest),
     /// Changes and versions of the store's tables, sent by a watcher.
     Bulletin(Bulletin),
+    /// Proof that a version of the configuration was the newest.
+    Proof(PulseProof),
+    /// Announcement of the holder of the duties.
+    Duty(PulseDuty),
 }
 
 impl Datagram {
@@ -319,6 +324,38 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
+/// Announcement of the holder of the duties.
+#[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct PulseDuty {
+    /// Hash of the holder's name.
+    pub sender: u64,
+    /// Fencing token of its tenure.
+    pub fencing: u64,
+}
+
+/// A version of the configuration's row that was the newest, see [`Proof`].
+#[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct PulseProof {
+    /// Version of the row.
+    pub row: u64,
+    /// Timeline of the store to which the version belongs, if it names one.
+    pub timeline: Option<u64>,
+    /// Time of the store's clock in milliseconds.
+    pub at_ms: u64,
+}
+
+impl From<Proof> for PulseProof {
+    fn from(proof: Proof) -> Self {
+        Self { row: proof.row, timeline: proof.timeline, at_ms: proof.at_ms }
+    }
+}
+
+impl From<PulseProof> for Proof {
+    fn from(proof: PulseProof) -> Self {
+        Self { row: proof.row, timeline: proof.timeline, at_ms: proof.at_ms }
+    }
+}
+
 /// Changes and versions of the store's tables, sent by a watcher.
 #[derive(Clone, Debug, Decode, Encode, PartialEq)]
 pub struct Bulletin {
@@ -384,7 +421,7 @@
         match table {
             Table::Configuration => Ok(Self::Configuration),
             Table::Endpoints => Ok(Self::Endpoints),
-            Table::Instances => Err(table),
+            Table::Instances | Table::Duties => Err(table),
         }
     }
 }
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -57,6 +57,30 @@
     Event { number: 5021, level: Level::Info, text: "attempt failed" };
 /// A request was answered; for a stream, its head.
 pub const ANSWERED: Event = Event { number: 5022, level: Level::Info, text: "request answered" };
+/// A withdrawal of API keys may be unknown to this instance; requests with keys are refused.
+pub const KEYS_LAPSED: Event =
+    Event { number: 5067, level: Level::Warning, text: "keys not known to be current" };
+/// All withdrawals of API keys are known again.
+pub const KEYS_PROVEN: Event =
+    Event { number: 5068, level: Level::Info, text: "keys known to be current" };
+/// The configuration lists a customer or a key that is not used.
+pub const CUSTOMERS_MALFORMED: Event =
+    Event { number: 5069, level: Level::Warning, text: "customer or key ignored" };
+/// The store did not say whether the configuration is the newest.
+pub const PROOF_FAILED: Event =
+    Event { number: 5070, level: Level::Info, text: "configuration not confirmed" };
+/// This instance performs the duties at the platform's API from now on.
+pub const DUTIES_TAKEN: Event = Event { number: 5071, level: Level::Info, text: "duties taken" };
+/// This instance no longer performs the duties.
+pub const DUTIES_LOST: Event = Event { number: 5072, level: Level::Info, text: "duties lost" };
+/// This instance has given the duties up since it shuts down.
+pub const DUTIES_RELEASED: Event =
+    Event { number: 5073, level: Level::Info, text: "duties released" };
+/// The platform's API answered a call.
+pub const DUTY_CALLED: Event = Event { number: 5074, level: Level::Info, text: "duty performed" };
+/// A duty could not be performed.
+pub const DUTY_FAILED: Event =
+    Event { number: 5075, level: Level::Warning, text: "duty not performed" };
 /// A stream continues at another endpoint.
 pub const RESUMED: Event = Event { number: 5023, level: Level::Info, text: "stream resumed" };
 /// A caller disconnected before the response was ready.
@@ -249,4 +273,13 @@
     REQUEST_NOT_BEGUN,
     REQUEST_REFUSED,
     COPY_NOT_USED,
+    KEYS_LAPSED,
+    KEYS_PROVEN,
+    CUSTOMERS_MALFORMED,
+    PROOF_FAILED,
+    DUTIES_TAKEN,
+    DUTIES_LOST,
+    DUTIES_RELEASED,
+    DUTY_CALLED,
+    DUTY_FAILED,
 ];
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use agatestair_runtime::log_event;
-use http::header::{EXPECT, HOST};
+use http::header::{AUTHORIZATION, EXPECT, HOST};
 use http::request::Parts;
 use http::{HeaderMap, Response, StatusCode};
 use hyper::Request;
@@ -16,12 +16,14 @@
 use crate::body::ResponseBody;
 use crate::call::Call;
 use crate::configuration::{Route, RouteMatch};
+use crate::customers::{Access, Customer};
 use crate::dispatches::Dispatches;
 use crate::events::{ABANDONED, ANSWERED, ATTEMPT_FAILED, REQUEST_FAILED};
 use crate::generate::generate;
 use crate::open_requests::OpenRequest;
 use crate::panics::catch_panic;
 use crate::plain::relay_plain;
+use crate::proof::boot_now;
 use crate::request_body::read_body;
 use crate::response::{DEFAULT_RETRY_AFTER, Failure, strip_hop_by_hop};
 use crate::send::ForwardedRequest;
@@ -117,8 +119,15 @@
     let path = head.uri.path().to_owned();
     let draw = rand::rng().random::<f64>();
     let host = host.unwrap_or_default();
-    let (limits, found) =
-        shared.hub.ask(move |node, _| (node.limits(), node.route(&host, &path, draw)));
+    let credential = (shared.wire.read_credential)(&head.headers);
+    let (limits, found, access) = shared.hub.ask(move |node, _| {
+        let found = node.route(&host, &path, draw);
+        let access = match &found {
+            RouteMatch::Found { route, .. } => node.access(route, credential, boot_now()),
+            RouteMatch::Unknown | RouteMatch::Missing => Access::Unchecked,
+        };
+        (node.limits(), found, access)
+    });
     let body =
         read_body(&shared.request_limit, body, limits.body_bytes, arrived + limits.idle_time).await;
     let (route, service, version) = match found {
@@ -130,6 +139,8 @@
         RouteMatch::Found { route, service, version } => (route, service, version),
     };
     let (body, _body_guard) = body.map_err(|failure| (Some(route.clone()), failure))?;
+    let checks = access != Access::Unchecked;
+    let customer = admit(access).map_err(|failure| (Some(route.clone()), failure))?;
     if head_bytes(&head) > limits.longest_head() {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         return Err((Some(route), Failure::BadRequest(status, "head too large")));
@@ -137,6 +148,9 @@
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
     headers.remove(EXPECT);
+    if checks {
+        headers.remove(AUTHORIZATION);
+    }
     let uri = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let Ok(uri) = uri.parse() else {
         return Err((Some(route), Failure::BadRequest(StatusCode::BAD_REQUEST, "malformed path")));
@@ -147,6 +161,8 @@
         shared: shared.clone(),
         forwarded: ForwardedRequest { id, method: head.method, uri, headers, body },
         facts,
+        credential,
+        customer,
         route: route.clone(),
         service,
         version,
@@ -170,6 +186,23 @@
     response.map(|response| (matched, response)).map_err(|failure| (Some(route), failure))
 }
 
+/// The customer on whose behalf a request is sent.
+///
+/// # Errors
+///
+/// The failure that a caller without a valid key receives.
+fn admit(access: Access) -> Result<Option<Arc<Customer>>, Failure> {
+    let failure = match access {
+        Access::Unchecked | Access::Anonymous => return Ok(None),
+        Access::Granted(customer) => return Ok(Some(customer)),
+        Access::Denied(cause) => Failure::Unauthorized(cause),
+        Access::Unproven => Failure::unproven(),
+    };
+    let status = failure.status().as_u16().to_string();
+    metrics::counter!("agatestair_serve_key_refusals_total", "status" => status).increment(1);
+    Err(failure)
+}
+
 /// Failure of a request whose handling has ended early without a response.
 fn interrupted(passed_on: bool, cause: &'static str) -> Failure {
     if passed_on {
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -20,11 +20,13 @@
 mod connection;
 mod crash;
 mod cursor;
+mod customers;
 mod datagram;
 mod digest;
 mod digests;
 mod directory;
 mod dispatches;
+mod duty;
 mod endpoint_list;
 pub mod events;
 mod explain;
@@ -42,6 +44,7 @@
 mod panics;
 mod plain;
 mod pool;
+mod proof;
 mod pulse;
 mod pulse_crashes;
 mod reach;
@@ -68,10 +71,11 @@
 pub use collection::Collection;
 pub use collectors::{Collectors, REPORT_CLEARED, interval};
 pub use configuration::{
-    Configuration, EngineFacts, Limits, Route, RouteKind, RouteMatch, Service, Target,
+    Configuration, EngineFacts, Limits, Route, RouteKind, RouteMatch, Scaling, Service, Target,
 };
 pub use connection::{Connection, ConnectionSettings, SendError, exchange};
 pub use cursor::{Cursor, TableUpdate};
+pub use customers::{Access, Credential, Customer, Customers, KeyHash};
 pub use datagram::{
     Bulletin, BulletinTable, BulletinUpdate, Datagram, Identity, Pulse, PulseLimit, PulseLimits,
     PulseLoad, TableState,
@@ -90,7 +94,8 @@
 pub use run::{Process, ServeError, Setup};
 pub use sharing::Sharing;
 pub use store::{
-    Changes, LocalFuture, Reply, Row, RowKey, StoreClient, StoreError, Table, Transaction,
+    Changes, Committed, LocalFuture, Reply, Row, RowKey, StoreClient, StoreError, Table,
+    Transaction,
 };
 pub use stream::{EventSplitter, StreamError};
 pub use timeline::{Timeline, TimelineNews};
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -201,6 +201,11 @@
         self.known.get(&key).map(|known| known.member.name.clone())
     }
 
+    /// The instance with this name.
+    pub fn find(&self, name: &str) -> Option<Member> {
+        self.known.get(&name_hash(name)).map(|known| known.member.clone())
+    }
+
     /// Number of other instances that are considered alive.
     pub fn count(&self, now: Moment) -> usize {
         let alive = |known: &&Known| known.heard.is_some_and(|heard| now.since(heard) < SILENCE);
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -1,11 +1,13 @@
 //! State of one instance and the decisions that depend on it.
 
+mod access;
 mod budgets;
 mod crashes;
 mod gossip;
 mod limits;
 mod stopping;
 
+pub use access::ProofPlan;
 pub use gossip::PulseChanges;
 pub use limits::LimitChange;
 pub use stopping::BegunKey;
@@ -22,7 +24,8 @@
     PlacementRequest, PromptPart, Stage,
 };
 use agatestair_policy::{
-    Durations, EndpointKey, Moment, ProcessKey, Quarantine, RetryBudget, RetrySettings,
+    Durations, EndpointKey, Freshness, Moment, ProcessKey, Quarantine, RetryBudget, RetrySettings,
+    Tenures,
 };
 use slotmap::SlotMap;
 use stakker::CX;
@@ -188,6 +191,16 @@
     pub domain: u64,
     /// The timeline of the store to which the positions in its tables belong.
     pub timeline: Timeline,
+    /// How long the configuration is known to be current.
+    pub freshness: Freshness,
+    /// Time after which a withdrawn API key must not be used at any instance, if there is a bound.
+    revoke: Option<Duration>,
+    /// Whether a withdrawal of API keys may be unknown here for longer than the bound.
+    lapsed: bool,
+    /// The duties, if the settings assign any.
+    pub tenures: Option<Tenures>,
+    /// Hash of the name of the instance that last announced itself as the holder of the duties.
+    pub holder: Option<u64>,
     configurations: Cursor,
     endpoints: Cursor,
     budgets: HashMap<Arc<str>, RetryBudget>,
@@ -231,6 +244,11 @@
             name_hash: name_hash(&settings.own.name),
             domain: name_hash(&settings.own.domain),
             timeline: Timeline::default(),
+            freshness: Freshness::default(),
+            revoke: None,
+            lapsed: false,
+            tenures: None,
+            holder: None,
             configurations: Cursor::default(),
             endpoints: Cursor::default(),
             budgets: HashMap::new(),
@@ -256,6 +274,8 @@
             }
             let routes: HashSet<&str> = configuration.routes().map(|route| &*route.name).collect();
             self.durations.retain(|(route, _), _| routes.contains(&**route));
+            let checks = configuration.customers.is_some() && self.revoke.is_some();
+            self.lapsed = checks && (self.lapsed || !self.freshness.is_proven());
             self.configuration = Some(Arc::new(configuration));
         }
         newer
@@ -278,12 +298,13 @@
 
     /// Whether this instance can serve callers.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.is_loaded()
+        !self.is_leaving() && self.is_loaded() && !self.lapsed
     }
 
     /// Whether configuration and endpoints are not loaded yet although the store is reachable.
     pub fn is_starting(&self) -> bool {
-        !(self.is_loaded() || self.endpoint_list.is_store_down())
+        let is_proven = !self.lapsed || self.freshness.is_proven();
+        !(self.is_loaded() && is_proven || self.endpoint_list.is_store_down())
     }
 
     fn is_loaded(&self) -> bool {
@@ -344,8 +365,13 @@
 
     /// Whether this instance is one of those preferred to follow the store for others.
     pub fn is_preferred(&self, now: Moment) -> bool {
+        self.rank_position(now) < WATCHERS
+    }
+
+    /// Number of better ranked instances that may be alive.
+    pub fn rank_position(&self, now: Moment) -> usize {
         let own = self.settings.own.rank();
-        self.members.ranks(now).filter(|rank| *rank < own).count() < WATCHERS
+        self.members.ranks(now).filter(|rank| *rank < own).count()
     }
 
     /// Decides how this instance follows a table of the store.
--- a/crates/serve/src/pulse.rs
+++ b/crates/serve/src/pulse.rs
@@ -19,10 +19,12 @@
 use crate::crash::log_changes;
 use crate::datagram::{Datagram, MAX_BYTES, Pulse};
 use crate::digest::Digest;
+use crate::duty::handle_duty;
 use crate::events::{
     DATAGRAM_MALFORMED, DATAGRAM_NOT_SENT, ENDPOINT_LEAVING, ENDPOINT_LIMITED, MEMBER_CHANGED,
 };
 use crate::node::PulseChanges;
+use crate::proof::handle_proof;
 use crate::shared::Shared;
 use crate::store::Table;
 
@@ -232,6 +234,8 @@
                 changes.into_iter().for_each(|changes| handle_changes(&shared, changes));
             }
             Ok(Datagram::Bulletin(bulletin)) => handle_bulletin(&shared, bulletin),
+            Ok(Datagram::Proof(proof)) => handle_proof(&shared, proof),
+            Ok(Datagram::Duty(news)) => handle_duty(&shared, news),
             Err(error) => log_event!(shared.log, DATAGRAM_MALFORMED, "from" => from.to_string(),
                 "error" => error.to_string()),
         }
--- a/crates/serve/src/reload.rs
+++ b/crates/serve/src/reload.rs
@@ -27,6 +27,11 @@
     }
 }
 
+/// Bound on the use of withdrawn API keys.
+pub fn revocation(settings: &ServeSettings) -> Option<Duration> {
+    settings.bounds.revoke_ms.map(|ms| Duration::from_secs_f64(ms / 1000.0))
+}
+
 /// Reloads the settings at each `SIGHUP` and every [`POLL_INTERVAL`].
 ///
 /// Bounds, limits and the store's address take effect at once. Identity and listen addresses keep
@@ -49,7 +54,11 @@
     let changed = *previous != settings;
     if changed {
         let retry = retry_settings(&settings);
-        shared.hub.ask(move |node, _| node.set_retry(retry));
+        let revoke = revocation(&settings);
+        shared.hub.ask(move |node, _| {
+            node.set_retry(retry);
+            node.set_revoke(revoke);
+        });
         shared.settings.replace(Rc::new(settings));
     }
     if changed || signalled {
--- a/crates/serve/src/response.rs
+++ b/crates/serve/src/response.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::header::{
     CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
-    RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE, WWW_AUTHENTICATE,
 };
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use rand::Rng;
@@ -28,6 +28,9 @@
 /// Default retry delay for refused callers.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Retry delay for callers that another instance can serve at once.
+pub const ELSEWHERE_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// Largest random delay added to a retry delay. Load peaks last for seconds, and callers that all
 /// retry at the start of one are refused again.
 const RETRY_JITTER: Duration = Duration::from_millis(800);
@@ -47,6 +50,8 @@
     },
     /// No route matches the request.
     NoRoute,
+    /// The request has no valid API key, with the reason.
+    Unauthorized(&'static str),
     /// The request is invalid, with the status to return and the reason.
     BadRequest(StatusCode, &'static str),
     /// The request may have been executed; holds the cause of the failure.
@@ -56,11 +61,18 @@
 }
 
 impl Failure {
+    /// Refusal of a request since its API key may have been withdrawn.
+    pub fn unproven() -> Self {
+        let cause = "API keys are not known to be current here";
+        Self::NotRun { retry_after: ELSEWHERE_RETRY_AFTER, cause }
+    }
+
     /// Status code of the response.
     pub fn status(&self) -> StatusCode {
         match self {
             Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::Unauthorized(_) => StatusCode::UNAUTHORIZED,
             Self::BadRequest(status, _) => *status,
             Self::MayHaveRun(_) => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -70,7 +82,9 @@
     /// Description of the failure.
     pub fn cause(&self) -> &str {
         match self {
-            Self::NotRun { cause, .. } | Self::BadRequest(_, cause) => cause,
+            Self::NotRun { cause, .. } | Self::BadRequest(_, cause) | Self::Unauthorized(cause) => {
+                cause
+            }
             Self::NoRoute => "no route",
             Self::MayHaveRun(cause) => cause,
             Self::TimedOut => "time is over",
@@ -84,6 +98,9 @@
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
+        if matches!(self, Self::Unauthorized(_)) {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+        }
         if let Self::NotRun { retry_after, .. } = self {
             let seconds = format!("{:.3}", retry_after.as_secs_f64());
             let value = HeaderValue::from_str(&seconds)
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use agatestair_policy::Tenures;
 use agatestair_policy::board::BoardSettings;
 use agatestair_runtime::{LogBuffer, MetricsHandle, log_event, unix_ms};
 use agatestair_schema::settings::ServeSettings;
@@ -25,6 +26,7 @@
 use crate::cache_query::query_caches;
 use crate::crash::log_changes;
 use crate::digests::send_digests;
+use crate::duty::keep_duties;
 use crate::events::{
     MEMBER_CHANGED, ROW_LOST, ROW_MALFORMED, ROW_WRITE_FAILED, STARTED, TASK_FAILED,
 };
@@ -35,8 +37,9 @@
 use crate::open_requests::OpenRequests;
 use crate::outbox::{LoadChanges, Outbox};
 use crate::pool::Pool;
+use crate::proof::{boot_now, keep_proof};
 use crate::pulse::{receive_datagrams, send_hello, send_pulses};
-use crate::reload::{Reload, retry_settings, watch_settings};
+use crate::reload::{Reload, retry_settings, revocation, watch_settings};
 use crate::shared::{Listener, Shared, TableWakeups, accept};
 use crate::shutdown::{Shutdown, shut_down};
 use crate::store::{Reply, StoreClient, StoreError, Table, Transaction};
@@ -197,6 +200,15 @@
         row_unsure: Cell::new(false),
         connections: Cell::new(0),
     });
+    let revoke = revocation(&shared.settings());
+    let tenures = shared.settings().duties.as_ref().map(|_| {
+        let lease = Duration::from_secs_f64(shared.settings().bounds.lease_ms / 1000.0);
+        Tenures::new(own.name.clone(), own.born, lease, boot_now())
+    });
+    shared.hub.ask(move |node, _| {
+        node.set_revoke(revoke);
+        node.tenures = tenures;
+    });
     let listeners = [
         ("callers", Some(&listen_on.callers), Listener::Callers),
         ("ready", Some(&listen_on.ready), Listener::Ready),
@@ -212,7 +224,8 @@
     }
     let socket = UdpSocket::bind(own.peers).await;
     let socket = Rc::new(socket.change_context(ServeError::Listen(own.peers))?);
-    let [datagrams, bulletins, pulses, digests, hellos] = std::array::from_fn(|_| socket.clone());
+    let [datagrams, bulletins, pulses, digests, hellos, proofs, duties] =
+        std::array::from_fn(|_| socket.clone());
     supervise(&shared, "datagrams", move |shared| receive_datagrams(shared, datagrams.clone()));
     supervise(&shared, "bulletins", move |shared| send_bulletins(shared, bulletins.clone()));
     supervise(&shared, "digests", move |shared| send_digests(shared, digests.clone()));
@@ -227,6 +240,8 @@
             leaving.run_until_cancelled(joining).await;
         }
     });
+    supervise(&shared, "proofs", move |shared| keep_proof(shared, proofs.clone()));
+    supervise(&shared, "duties", move |shared| keep_duties(shared, duties.clone()));
     supervise(&shared, "caches", query_caches);
     supervise(&shared, "sweep", sweep);
     spawn(watch_settings(shared.clone(), reload, hangup));
--- a/crates/serve/src/store.rs
+++ b/crates/serve/src/store.rs
@@ -20,6 +20,8 @@
     Endpoints,
     /// The running instances.
     Instances,
+    /// The holder of the duties, and what it has decided.
+    Duties,
 }
 
 impl Table {
@@ -29,6 +31,7 @@
             Self::Configuration => "configuration",
             Self::Endpoints => "endpoints",
             Self::Instances => "instances",
+            Self::Duties => "duties",
         }
     }
 }
@@ -111,6 +114,15 @@
     pub removals: Vec<RowKey>,
 }
 
+/// Effect of a transaction.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Committed {
+    /// Version of the store after it.
+    pub version: u64,
+    /// Time of the store's steady clock in milliseconds, if the response names it.
+    pub clock_ms: Option<u64>,
+}
+
 /// Response of the store to a call, or why there is none.
 #[derive(Clone, Debug)]
 pub struct Reply<T> {
@@ -136,6 +148,6 @@
     pub read: Box<dyn Fn(Table) -> LocalFuture<Reply<Changes>>>,
     /// Waits up to the given time for changes after a version.
     pub follow: Box<FollowCall>,
-    /// Commits a transaction and returns the resulting version.
-    pub commit: Box<dyn Fn(Transaction) -> LocalFuture<Reply<u64>>>,
+    /// Commits a transaction.
+    pub commit: Box<dyn Fn(Transaction) -> LocalFuture<Reply<Committed>>>,
 }
--- a/crates/serve/src/watch.rs
+++ b/crates/serve/src/watch.rs
@@ -10,11 +10,13 @@
 
 use crate::bulletins::TimedUpdate;
 use crate::cursor::TableUpdate;
+use crate::customers::Customers;
 use crate::datagram::{BulletinTable, BulletinUpdate};
 use crate::endpoint_list::Restored;
 use crate::events::{
-    ANSWER_FORMER, CONFIGURED, ENDPOINT_CHANGED, ENDPOINT_EXPIRED, ENDPOINT_REMOVED, ENTRY_HELD,
-    READY, ROW_MALFORMED, STORE_AVAILABLE, STORE_UNAVAILABLE, TABLE_READ_AGAIN,
+    ANSWER_FORMER, CONFIGURED, CUSTOMERS_MALFORMED, ENDPOINT_CHANGED, ENDPOINT_EXPIRED,
+    ENDPOINT_REMOVED, ENTRY_HELD, READY, ROW_MALFORMED, STORE_AVAILABLE, STORE_UNAVAILABLE,
+    TABLE_READ_AGAIN,
 };
 use crate::node::{FollowMode, Node};
 use crate::shared::Shared;
@@ -62,7 +64,7 @@
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
 /// Key of the configuration's row.
-const CONFIGURATION_KEY: &str = "config";
+pub const CONFIGURATION_KEY: &str = "config";
 
 /// A read of a table.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -131,6 +133,20 @@
     }
 }
 
+/// Reads a table as a whole and applies it, beside the task that follows it.
+pub async fn refresh(shared: &Shared, table: Table) {
+    let asked = shared.timeline();
+    let reply = read(shared, table, StoreCall::Full).await;
+    if !is_usable(shared, table, StoreCall::Full, asked, &reply) {
+        return;
+    }
+    match reply.outcome {
+        Ok(changes) => handle_response(shared, table, changes, true),
+        Err(error) => log_event!(shared.log, STORE_UNAVAILABLE, "table" => table.label(),
+            "error" => error.to_string()),
+    }
+}
+
 /// Records the timeline of a response, and returns whether its versions belong to the one that is
 /// followed now.
 fn is_usable(
@@ -340,7 +356,7 @@
             rows.into_iter().for_each(|row| apply_configuration(shared, row, source));
         }
         Table::Endpoints => apply_endpoints(shared, rows, extent, source),
-        Table::Instances => {}
+        Table::Instances | Table::Duties => {}
     }
     if !was_ready && shared.hub.ask(|node, _| node.is_ready()) {
         log_event!(shared.log, READY);
@@ -355,13 +371,24 @@
     match (shared.wire.read_configuration)(&value) {
         Ok(configuration) => {
             let version = configuration.version;
+            let keys = configuration.customers.as_ref().map(Customers::len);
+            let problems = configuration.customers.as_ref().map(|known| known.problems.clone());
+            let row_version = row.version;
             let adopted = shared.hub.ask(move |node, _| {
                 node.cursor(Table::Configuration).note_parsed(&key);
-                node.adopt(configuration)
+                let adopted = node.adopt(configuration);
+                if node.version().is_some_and(|known| known >= version) {
+                    node.note_configuration_row(row_version);
+                }
+                adopted
             });
             if adopted {
                 log_event!(shared.log, CONFIGURED, "version" => version, "row" => row.version,
-                    "source" => source);
+                    "keys" => keys, "source" => source);
+                for problem in problems.unwrap_or_default() {
+                    log_event!(shared.log, CUSTOMERS_MALFORMED, "version" => version,
+                        "problem" => problem);
+                }
             }
         }
         Err(error) => note_malformed(shared, Table::Configuration, &key, &error),
--- a/crates/serve/src/wire.rs
+++ b/crates/serve/src/wire.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, Method};
 
 use crate::configuration::Configuration;
+use crate::customers::Credential;
 
 /// A message on the wire that cannot be parsed.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -88,6 +89,8 @@
     pub backup: Option<SocketAddr>,
     /// Identifier of the last event that the caller received, if a stream is resumed.
     pub resume: Option<&'a str>,
+    /// Name of the customer on whose behalf the request is sent, if it is known.
+    pub customer: Option<&'a str>,
 }
 
 /// Values parsed from the headers of an endpoint's response.
@@ -147,8 +150,13 @@
     pub paths: Paths,
     /// Parses the headers of a caller's request.
     pub read_call: fn(&HeaderMap) -> Result<CallFacts, WireError>,
+    /// Reads the API key in the headers of a caller's request.
+    pub read_credential: fn(&HeaderMap) -> Credential,
     /// Sets the system's own headers on a request to an endpoint, replacing existing ones.
     pub write_call: fn(&Outbound<'_>, &mut HeaderMap),
+    /// Sets the headers of a call to the platform's API: the holder of the duties and its fencing
+    /// token.
+    pub write_tenure: fn(&str, u64, &mut HeaderMap),
     /// Parses the headers of an endpoint's response.
     pub read_response: fn(&HeaderMap) -> ResponseFacts,
     /// Parses the body of the response to a prefill request.
--- a/crates/serve/tests/components.rs
+++ b/crates/serve/tests/components.rs
@@ -128,6 +128,7 @@
             .map(|(service, weight)| Target { service: (*service).into(), weight: *weight })
             .collect(),
         attempts: 1,
+        public: false,
     }
 }
 
@@ -155,7 +156,8 @@
         route("xy", "a.example", "/x/y/", &[("s", 1)]),
         route("other", "b.example", "/x/", &[("s", 1)]),
     ];
-    let services = vec![Service { name: "s".into(), connections: Some(1), engine: None }];
+    let service = Service { name: "s".into(), connections: Some(1), engine: None, scaling: None };
+    let services = vec![service];
     let configuration = Configuration::new(1, routes, services, Limits::default());
     for case in &ROUTES {
         let found = configuration.route(case.host, case.path).map(|route| route.name.to_string());
