Usage reports: gathered by datagrams, settled in the store before they are sent

Cause: the platform expects the requests of each customer for every window; each instance knows only its own.

Change: instances count requests by window and customer and send the sums to the holder until the report is settled. A report is a row of the store before it is sent, so that any later holder repeats exactly that.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 mod speed;
 mod straggler;
 mod tenure;
+mod usage;
 
 pub use action::{Action, AttemptEnd, Purpose, Refusal, RefusalCode};
 pub use budget::Budget;
@@ -51,3 +52,4 @@
 };
 pub use shares::{ShareAllocator, ShareSettings};
 pub use tenure::{HolderRow, Tenure, TenureStep, Tenures};
+pub use usage::{UsageCounts, UsageLedger, UsageMeter, UsageWindows, usage_total};
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -27,6 +27,7 @@
 };
 use crate::send::{Dispatch, ForwardedRequest, SendOutcome, Written, build_request, send};
 use crate::shared::Shared;
+use crate::usage::note_run;
 use crate::wire::{CallFacts, Outbound, Phase};
 
 /// Maximum number of endpoints that a request is sent to, including those that refuse it.
@@ -92,6 +93,10 @@
     pub crashes: u32,
     /// Whether the request is the trial of a quarantined prompt part.
     pub trial: bool,
+    /// When the latest attempt was written.
+    pub written: Written,
+    /// Whether the request was counted as one that an endpoint began to run.
+    pub metered: bool,
 }
 
 /// A request on its way to an endpoint; dropping it closes the connection.
@@ -311,6 +316,7 @@
     ) -> SendOutcome {
         let sending = self.begin_send(guard, work, phase, None);
         self.backup = sending.backup;
+        self.written = sending.written.clone();
         let sent = sending.outcome.await;
         self.note_sent(sending.key, &sent);
         sent
@@ -384,6 +390,22 @@
         self.shared.hub.ask(move |node, now| node.place_backup(&request, key, connections, now))
     }
 
+    /// Counts the request for the usage reports, once, as one that an endpoint began to run.
+    pub fn note_run(&mut self, began: Instant) {
+        let customer = self.customer.as_ref().filter(|_| !self.metered);
+        if let Some(customer) = customer {
+            note_run(&self.shared, &customer.name, began);
+            self.metered = true;
+        }
+    }
+
+    /// Counts the request as one that began to run when its latest attempt was written, if it was.
+    pub fn note_written_run(&mut self) {
+        if let Some(written) = self.written.get() {
+            self.note_run(written);
+        }
+    }
+
     /// Records the duration of a request that was answered completely or has timed out.
     pub fn note_duration(&self) {
         let Some(begun) = &self.begun else { return };
--- a/crates/serve/src/datagram.rs
+++ b/crates/serve/src/datagram.rs
@@ -48,6 +48,10 @@
     Proof(PulseProof),
     /// Announcement of the holder of the duties.
     Duty(PulseDuty),
+    /// Requests that endpoints began to run for the sender, for the holder of the duties.
+    Usage(PulseUsage),
+    /// Acknowledgement of the holder.
+    UsageAck(PulseUsageAck),
 }
 
 impl Datagram {
@@ -331,6 +335,38 @@
     pub sender: u64,
     /// Fencing token of its tenure.
     pub fencing: u64,
+    /// Last window whose usage report is settled, if there is one.
+    pub settled: Option<u64>,
+}
+
+/// Requests in a window that endpoints began to run for an instance.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct PulseUsage {
+    /// Hash of the instance's name.
+    pub sender: u64,
+    /// Start time of its process in Unix milliseconds.
+    pub born: u64,
+    /// Number of the window.
+    pub window: u64,
+    /// Number of requests in all, some of which may be in other datagrams.
+    pub total: u64,
+    /// Whether no more are expected.
+    pub closed: bool,
+    /// Names of customers and their requests so far.
+    pub counts: Vec<(String, u32)>,
+}
+
+/// Acknowledgement of the requests of an instance in a window.
+#[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct PulseUsageAck {
+    /// Number of the window.
+    pub window: u64,
+    /// Number of requests that the holder knows.
+    pub total: u64,
+    /// Fencing token of the holder.
+    pub fencing: u64,
+    /// Whether no more are expected.
+    pub closed: bool,
 }
 
 /// A version of the configuration's row that was the newest, see [`Proof`].
--- a/crates/serve/src/duty.rs
+++ b/crates/serve/src/duty.rs
@@ -113,8 +113,6 @@
     tenure: Tenure,
     /// From before the transaction was sent.
     at: Moment,
-    /// Version of the store after the transaction.
-    pub version: u64,
 }
 
 /// Whether the settings assign a duty to the instances.
@@ -156,7 +154,7 @@
     let at = boot_now();
     let reply = (shared.store.commit)(transaction).await;
     match shared.settle(reply) {
-        Ok(committed) => Ok(Confirmed { tenure, at, version: committed.version }),
+        Ok(_) => Ok(Confirmed { tenure, at }),
         Err(StoreError::Conflict) => {
             read_holder(shared).await?;
             let held = shared.hub.ask(|node, _| node.tenures.as_ref().and_then(Tenures::held));
@@ -247,9 +245,11 @@
             announced = Some(boot_now());
             let audience =
                 shared.hub.ask(move |node, now| node.members.broadcast_audience(round, now));
-            let news = shared
-                .hub
-                .ask(move |node, _| PulseDuty { sender: node.name_hash, fencing: held.fencing });
+            let news = shared.hub.ask(move |node, _| PulseDuty {
+                sender: node.name_hash,
+                fencing: held.fencing,
+                settled: node.usage.settled,
+            });
             send_all(&shared, &socket, &Datagram::Duty(news), &audience).await;
             round += 1;
         }
@@ -271,7 +271,12 @@
         let now = boot_now();
         let lost = other
             && node.tenures.as_mut().is_some_and(|known| known.note_announced(news.fencing, now));
-        node.holder = Some(news.sender);
+        if other || node.holder.is_none() {
+            node.holder = Some((news.sender, news.fencing));
+        }
+        if let Some(settled) = news.settled {
+            node.usage.settle(settled);
+        }
         (lost, node.members.name(news.sender))
     });
     if lost {
@@ -340,7 +345,7 @@
                 if let Some(known) = &mut node.tenures {
                     known.note_taken(&row, committed.version, now);
                 }
-                node.holder = Some(node.name_hash);
+                node.holder = Some((node.name_hash, fencing));
             });
             metrics::counter!("agatestair_serve_duties_taken_total").increment(1);
             log_event!(shared.log, DUTIES_TAKEN, "fencing" => fencing, "former" => version,
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -81,6 +81,9 @@
 /// A duty could not be performed.
 pub const DUTY_FAILED: Event =
     Event { number: 5075, level: Level::Warning, text: "duty not performed" };
+/// The usage report of a window can no longer change.
+pub const USAGE_SETTLED: Event =
+    Event { number: 5076, level: Level::Info, text: "usage report settled" };
 /// A stream continues at another endpoint.
 pub const RESUMED: Event = Event { number: 5023, level: Level::Info, text: "stream resumed" };
 /// A caller disconnected before the response was ready.
@@ -282,4 +285,5 @@
     DUTIES_RELEASED,
     DUTY_CALLED,
     DUTY_FAILED,
+    USAGE_SETTLED,
 ];
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -26,7 +26,7 @@
 use crate::proof::boot_now;
 use crate::request_body::read_body;
 use crate::response::{DEFAULT_RETRY_AFTER, Failure, strip_hop_by_hop};
-use crate::send::ForwardedRequest;
+use crate::send::{ForwardedRequest, Written};
 use crate::shared::Shared;
 use crate::wire::CallFacts;
 
@@ -178,6 +178,8 @@
         answering: false,
         crashes: 0,
         trial: false,
+        written: Written::default(),
+        metered: false,
     };
     let (service, matched) = (call.service.name.clone(), route.clone());
     shared.hub.ask(move |node, now| node.note_first(&service, now));
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -63,6 +63,7 @@
 mod stream;
 mod timeline;
 mod token_bucket;
+mod usage;
 mod watch;
 mod watchers;
 mod wire;
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -201,6 +201,17 @@
         self.known.get(&key).map(|known| known.member.name.clone())
     }
 
+    /// Address for datagrams of the instance whose name has the hash `key`.
+    pub fn peer_address(&self, key: u64) -> Option<SocketAddr> {
+        self.known.get(&key).map(|known| known.member.peers)
+    }
+
+    /// Hashes of the names of the other instances that are considered alive.
+    pub fn alive(&self, now: Moment) -> impl Iterator<Item = u64> {
+        let alive = move |known: &Known| known.heard.is_some_and(|at| now.since(at) < SILENCE);
+        self.known.iter().filter(move |(_, known)| alive(known)).map(|(key, _)| *key)
+    }
+
     /// The instance with this name.
     pub fn find(&self, name: &str) -> Option<Member> {
         self.known.get(&name_hash(name)).map(|known| known.member.clone())
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -41,6 +41,7 @@
 use crate::store::Table;
 use crate::timeline::{Timeline, TimelineNews};
 use crate::token_bucket::TokenBucket;
+use crate::usage::Usage;
 use crate::watchers::{WATCHERS, Watchers};
 
 /// Work that other instances place on one endpoint between two of their datagrams: a short prompt
@@ -199,8 +200,11 @@
     lapsed: bool,
     /// The duties, if the settings assign any.
     pub tenures: Option<Tenures>,
-    /// Hash of the name of the instance that last announced itself as the holder of the duties.
-    pub holder: Option<u64>,
+    /// Hash of the name of the instance that last announced itself as the holder of the duties, and
+    /// its fencing token.
+    pub holder: Option<(u64, u64)>,
+    /// Requests of customers, for the usage reports.
+    pub usage: Usage,
     configurations: Cursor,
     endpoints: Cursor,
     budgets: HashMap<Arc<str>, RetryBudget>,
@@ -249,6 +253,7 @@
             lapsed: false,
             tenures: None,
             holder: None,
+            usage: Usage::default(),
             configurations: Cursor::default(),
             endpoints: Cursor::default(),
             budgets: HashMap::new(),
--- a/crates/serve/src/plain.rs
+++ b/crates/serve/src/plain.rs
@@ -36,7 +36,11 @@
                 other => Err(other),
             }
         };
-        let Ok(outcome) = timeout_at(deadline, attempt).await else {
+        let outcome = timeout_at(deadline, attempt).await;
+        if matches!(outcome, Err(_) | Ok(Ok(_) | Err(SendOutcome::Unknown(_)))) {
+            call.note_written_run();
+        }
+        let Ok(outcome) = outcome else {
             call.note_duration();
             call.note_failed(&guard, FailureKind::Broken, "no answer in time");
             return Err(Failure::TimedOut);
--- a/crates/serve/src/pulse.rs
+++ b/crates/serve/src/pulse.rs
@@ -27,6 +27,7 @@
 use crate::proof::handle_proof;
 use crate::shared::Shared;
 use crate::store::Table;
+use crate::usage::{handle_usage, handle_usage_ack};
 
 /// Time between two datagrams while the load changes; a few requests arrive at one endpoint in it.
 const BUSY_INTERVAL: Duration = Duration::from_millis(40);
@@ -236,6 +237,8 @@
             Ok(Datagram::Bulletin(bulletin)) => handle_bulletin(&shared, bulletin),
             Ok(Datagram::Proof(proof)) => handle_proof(&shared, proof),
             Ok(Datagram::Duty(news)) => handle_duty(&shared, news),
+            Ok(Datagram::Usage(news)) => handle_usage(&shared, &socket, news, from).await,
+            Ok(Datagram::UsageAck(ack)) => handle_usage_ack(&shared, ack),
             Err(error) => log_event!(shared.log, DATAGRAM_MALFORMED, "from" => from.to_string(),
                 "error" => error.to_string()),
         }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -43,6 +43,7 @@
 use crate::shared::{Listener, Shared, TableWakeups, accept};
 use crate::shutdown::{Shutdown, shut_down};
 use crate::store::{Reply, StoreClient, StoreError, Table, Transaction};
+use crate::usage::{Usage, flush_usage, report_usage, send_usage, windows};
 use crate::watch::follow;
 use crate::wire::WireFormat;
 
@@ -205,9 +206,11 @@
         let lease = Duration::from_secs_f64(shared.settings().bounds.lease_ms / 1000.0);
         Tenures::new(own.name.clone(), own.born, lease, boot_now())
     });
+    let usage = Usage::new(windows(&shared));
     shared.hub.ask(move |node, _| {
         node.set_revoke(revoke);
         node.tenures = tenures;
+        node.usage = usage;
     });
     let listeners = [
         ("callers", Some(&listen_on.callers), Listener::Callers),
@@ -224,7 +227,7 @@
     }
     let socket = UdpSocket::bind(own.peers).await;
     let socket = Rc::new(socket.change_context(ServeError::Listen(own.peers))?);
-    let [datagrams, bulletins, pulses, digests, hellos, proofs, duties] =
+    let [datagrams, bulletins, pulses, digests, hellos, proofs, duties, usage] =
         std::array::from_fn(|_| socket.clone());
     supervise(&shared, "datagrams", move |shared| receive_datagrams(shared, datagrams.clone()));
     supervise(&shared, "bulletins", move |shared| send_bulletins(shared, bulletins.clone()));
@@ -242,6 +245,8 @@
     });
     supervise(&shared, "proofs", move |shared| keep_proof(shared, proofs.clone()));
     supervise(&shared, "duties", move |shared| keep_duties(shared, duties.clone()));
+    supervise(&shared, "usage", move |shared| send_usage(shared, usage.clone()));
+    supervise(&shared, "usage reports", report_usage);
     supervise(&shared, "caches", query_caches);
     supervise(&shared, "sweep", sweep);
     spawn(watch_settings(shared.clone(), reload, hangup));
@@ -252,6 +257,7 @@
         _ = interrupt.recv() => {}
     }
     shut_down(&shared, &own).await;
+    flush_usage(&shared, &socket).await;
     buffer.flush();
     Ok(())
 }
--- a/crates/serve/src/wire.rs
+++ b/crates/serve/src/wire.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agatestair_policy::UsageCounts;
 use agatestair_policy::board::{EndpointFacts, PromptPart};
 use http::{HeaderMap, Method};
 
@@ -157,6 +158,10 @@
     /// Sets the headers of a call to the platform's API: the holder of the duties and its fencing
     /// token.
     pub write_tenure: fn(&str, u64, &mut HeaderMap),
+    /// Encodes the usage of all customers in a window.
+    pub write_usage: fn(u64, &UsageCounts) -> Vec<u8>,
+    /// Builds the call to the platform's API that sends an encoded usage report.
+    pub report_usage: fn(&[u8]) -> WireCall,
     /// Parses the headers of an endpoint's response.
     pub read_response: fn(&HeaderMap) -> ResponseFacts,
     /// Parses the body of the response to a prefill request.
--- a/crates/serve/tests/support/simulation.rs
+++ b/crates/serve/tests/support/simulation.rs
@@ -149,9 +149,7 @@
                 Datagram::Report(pulse) => drop(instance.node.receive_report(pulse, now)),
                 Datagram::Digest(digest) => drop(instance.node.receive_digest(&digest, now)),
                 Datagram::Pulse(pulse) => drop(instance.node.receive_pulse(&pulse, now)),
-                Datagram::Bulletin(_) | Datagram::Proof(_) | Datagram::Duty(_) => {
-                    unreachable!("the simulated instances send none")
-                }
+                _ => unreachable!("the simulated instances send no others"),
             }
         }
     }
