Calls of the platform's API name their host, and failures are logged

Cause: without `Host` each call got 400, and the log did not say why.

Change: the header is set; the beginning of a failed response is logged.

--- a/crates/serve/src/duty.rs
+++ b/crates/serve/src/duty.rs
@@ -13,7 +13,8 @@
 use agatestair_runtime::{log_event, unix_ms};
 use agatestair_schema::settings::DutyKind;
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::header::HOST;
+use http::{HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -46,6 +47,9 @@
 /// Largest response of the platform's API that is read, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024;
 
+/// Largest number of characters of a failure that are logged.
+const MAX_SHOWN: usize = 200;
+
 /// Longest time to find out whether the holder's process still accepts connections.
 const GONE_TIME: Duration = Duration::from_millis(100);
 
@@ -184,6 +188,8 @@
     let mut request = Request::new(Full::new(Bytes::from(call.body)));
     *request.method_mut() = call.method;
     *request.headers_mut() = call.headers;
+    let host = HeaderValue::from_str(&address.to_string()).expect("addresses are valid headers");
+    request.headers_mut().insert(HOST, host);
     let path = call.path.parse();
     *request.uri_mut() = path.map_err(|_| DutyError::Unanswered("malformed path".to_owned()))?;
     let fencing = confirmed.tenure.fencing;
@@ -194,18 +200,31 @@
     let connection = ConnectionSettings { reset: true, ..ConnectionSettings::default() };
     let response =
         exchange(&mut None, address, &connection, request, CALL_TIMEOUT, MAX_RESPONSE_BYTES).await;
-    let outcome = response.map(|response| response.status()).map_err(DutyError::Unanswered);
-    let status = outcome.as_ref().map_or("none".to_owned(), |status| status.as_str().to_owned());
+    let status = response
+        .as_ref()
+        .map_or("none".to_owned(), |response| response.status().as_str().to_owned());
     metrics::counter!("agatestair_serve_duty_calls_total", "duty" => kind.to_string(),
         "status" => status)
     .increment(1);
-    match &outcome {
-        Ok(status) => log_event!(shared.log, DUTY_CALLED, "duty" => kind.to_string(),
-            "path" => &call.path, "status" => status.as_u16(), "fencing" => fencing),
-        Err(error) => log_event!(shared.log, DUTY_FAILED, "duty" => kind.to_string(),
-            "path" => &call.path, "fencing" => fencing, "error" => error.to_string()),
+    match response {
+        Ok(response) => {
+            let failed = !response.status().is_success();
+            let cause = failed.then(|| shorten(response.body()));
+            log_event!(shared.log, DUTY_CALLED, "duty" => kind.to_string(), "path" => &call.path,
+                "status" => response.status().as_u16(), "fencing" => fencing, "cause" => cause);
+            Ok(response.status())
+        }
+        Err(error) => {
+            log_event!(shared.log, DUTY_FAILED, "duty" => kind.to_string(),
+                "path" => &call.path, "fencing" => fencing, "error" => &error);
+            Err(DutyError::Unanswered(error))
+        }
     }
-    outcome
+}
+
+/// The beginning of a response that explains a failure.
+fn shorten(body: &[u8]) -> String {
+    String::from_utf8_lossy(body).chars().take(MAX_SHOWN).collect()
 }
 
 /// Ends the tenure of this instance, since a higher fencing token was seen.
