Orders of engines: reclaimable ones, with room for the loss of a domain

Change: `policy::capacity` decides how many engines of each kind there are in a failure domain; the holder records an order in the store before it sends it.

--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -58,6 +58,9 @@
 /// Age up to which an endpoint's reported pace is forwarded to other instances.
 const MAX_PACE_AGE: Duration = Duration::from_millis(100);
 
+/// Backlog of prompts at which an engine counts as fully busy, in milliseconds of prefill.
+const BUSY_BACKLOG_MS: f64 = 200.0;
+
 /// What one instance reports to others about one endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EndpointReport {
@@ -204,6 +207,20 @@
         self.endpoints.values().map(total).collect()
     }
 
+    /// Number of a service's endpoints that are busy, in whole endpoints: the share of the slots in use,
+    /// or of the longest backlog of prompts with which responses start on time.
+    pub fn busy(&self, service: &str, now: Moment) -> f64 {
+        let rate = self.settings.costs.prefill_rate.max(f64::MIN_POSITIVE);
+        let share = |key: &EndpointKey| {
+            let endpoint = &self.endpoints[*key];
+            let load = endpoint.load(now);
+            let slots = f64::from(load.attempts) / f64::from(endpoint.facts.slots.max(1));
+            let backlog = f64::from(load.unread) / (rate * BUSY_BACKLOG_MS);
+            slots.max(backlog).min(1.0)
+        };
+        self.members(service).iter().map(share).sum()
+    }
+
     /// Whether an endpoint is listed and accepts new attempts.
     pub fn is_open(&self, key: EndpointKey) -> bool {
         self.endpoints.get(key).is_some_and(|endpoint| !endpoint.is_leaving())
--- a/crates/policy/src/board/endpoint.rs
+++ b/crates/policy/src/board/endpoint.rs
@@ -45,6 +45,8 @@
     pub stage: Option<Stage>,
     /// Start time of its process in Unix milliseconds; 0 if unknown.
     pub born: u64,
+    /// Whether the platform may take it away at short notice.
+    pub reclaimable: bool,
 }
 
 /// One endpoint with the state that this instance keeps of it.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod board;
 mod budget;
 mod cache_map;
+mod capacity;
 mod demand;
 mod durations;
 mod fleet;
@@ -34,6 +35,10 @@
 
 pub use action::{Action, AttemptEnd, Purpose, Refusal, RefusalCode};
 pub use budget::Budget;
+pub use capacity::{
+    CapacityOrder, CapacitySettings, DomainCapacity, EngineKind, KindCapacity, ServiceCapacity,
+    plan_capacity,
+};
 pub use durations::Durations;
 pub use freshness::{Freshness, Proof, StoreClock};
 pub use keys::{AttemptKey, EndpointKey, RequestKey};
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -211,6 +211,7 @@
                 leaving: false,
                 stage: Some(if index < prefill_engines { Stage::Prefill } else { Stage::Decode }),
                 born: 1,
+                reclaimable: false,
             })
         });
         let keys = keys.collect();
--- a/crates/policy/tests/herding.rs
+++ b/crates/policy/tests/herding.rs
@@ -241,6 +241,7 @@
         leaving: false,
         stage: Some(if index < PREFILL_ENGINES { Stage::Prefill } else { Stage::Decode }),
         born: 1,
+        reclaimable: false,
     }
 }
 
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -22,6 +22,7 @@
         leaving: false,
         stage: None,
         born,
+        reclaimable: false,
     }
 }
 
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -61,6 +61,7 @@
             leaving: false,
             stage: Some(if index < ENGINES { Stage::Prefill } else { Stage::Decode }),
             born: 1,
+            reclaimable: false,
         });
     }
     board
--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -17,6 +17,7 @@
         leaving: false,
         stage,
         born: 1,
+        reclaimable: false,
     }
 }
 
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -84,6 +84,9 @@
 /// The usage report of a window can no longer change.
 pub const USAGE_SETTLED: Event =
     Event { number: 5076, level: Level::Info, text: "usage report settled" };
+/// A number of engines was ordered.
+pub const ENGINES_ORDERED: Event =
+    Event { number: 5077, level: Level::Info, text: "engines ordered" };
 /// A stream continues at another endpoint.
 pub const RESUMED: Event = Event { number: 5023, level: Level::Info, text: "stream resumed" };
 /// A caller disconnected before the response was ready.
@@ -286,4 +289,5 @@
     DUTY_CALLED,
     DUTY_FAILED,
     USAGE_SETTLED,
+    ENGINES_ORDERED,
 ];
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -14,6 +14,7 @@
 mod bulletins;
 mod cache_query;
 mod call;
+mod capacity;
 mod collection;
 mod collectors;
 mod configuration;
--- a/crates/serve/src/members.rs
+++ b/crates/serve/src/members.rs
@@ -212,6 +212,11 @@
         self.known.iter().filter(move |(_, known)| alive(known)).map(|(key, _)| *key)
     }
 
+    /// Share of the known instances that are considered alive, with this one.
+    pub fn alive_share(&self, now: Moment) -> f64 {
+        (self.count(now) + 1) as f64 / (self.known.len() + 1) as f64
+    }
+
     /// The instance with this name.
     pub fn find(&self, name: &str) -> Option<Member> {
         self.known.get(&name_hash(name)).map(|known| known.member.clone())
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -3,11 +3,13 @@
 mod access;
 mod budgets;
 mod crashes;
+mod engines;
 mod gossip;
 mod limits;
 mod stopping;
 
 pub use access::ProofPlan;
+pub use engines::Engines;
 pub use gossip::PulseChanges;
 pub use limits::LimitChange;
 pub use stopping::BegunKey;
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -24,6 +24,7 @@
 use crate::buffer_limit::BufferLimit;
 use crate::bulletins::send_bulletins;
 use crate::cache_query::query_caches;
+use crate::capacity::keep_capacity;
 use crate::crash::log_changes;
 use crate::digests::send_digests;
 use crate::duty::keep_duties;
@@ -247,6 +248,7 @@
     supervise(&shared, "duties", move |shared| keep_duties(shared, duties.clone()));
     supervise(&shared, "usage", move |shared| send_usage(shared, usage.clone()));
     supervise(&shared, "usage reports", report_usage);
+    supervise(&shared, "capacity", keep_capacity);
     supervise(&shared, "caches", query_caches);
     supervise(&shared, "sweep", sweep);
     spawn(watch_settings(shared.clone(), reload, hangup));
--- a/crates/serve/src/wire.rs
+++ b/crates/serve/src/wire.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agatestair_policy::UsageCounts;
 use agatestair_policy::board::{EndpointFacts, PromptPart};
+use agatestair_policy::{EngineKind, UsageCounts};
 use http::{HeaderMap, Method};
 
 use crate::configuration::Configuration;
@@ -160,6 +160,9 @@
     pub write_tenure: fn(&str, u64, &mut HeaderMap),
     /// Encodes the usage of all customers in a window.
     pub write_usage: fn(u64, &UsageCounts) -> Vec<u8>,
+    /// Builds the call to the platform's API that orders a number of engines of a service in a failure
+    /// domain.
+    pub order_engines: fn(&str, &str, EngineKind, u32) -> WireCall,
     /// Builds the call to the platform's API that sends an encoded usage report.
     pub report_usage: fn(&[u8]) -> WireCall,
     /// Parses the headers of an endpoint's response.
--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -17,5 +17,6 @@
         leaving,
         stage: None,
         born: 1,
+        reclaimable: false,
     }
 }
--- a/crates/serve/tests/support/simulation.rs
+++ b/crates/serve/tests/support/simulation.rs
@@ -281,5 +281,6 @@
         leaving: false,
         stage: None,
         born: 1,
+        reclaimable: false,
     }
 }
