Engines: room grows at once, and the base is the fleet that operators provided

Change: orders are raised without a dead band; the base is the largest number of standing engines before the first is ordered away.

--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -20,7 +20,7 @@
     pub pause: Duration,
     /// Time for which the room must have been too large before it is made smaller.
     pub patience: Duration,
-    /// Change of an order below which it is left as it is, relative to the order.
+    /// Reduction of an order below which it is left as it is, relative to the order.
     pub dead_band: f64,
 }
 
@@ -153,7 +153,7 @@
 fn target(settings: &CapacitySettings, service: &ServiceCapacity) -> Target {
     let domains = service.domains.len().max(1) as f64;
     let need = room(settings, service);
-    let standing = (need * settings.reserve / domains).ceil().max(1.0);
+    let standing = (need * settings.reserve / domains).floor().max(1.0);
     let rest = (need - standing * domains).max(0.0);
     let others = if domains > 1.0 { domains - 1.0 } else { 1.0 };
     let reclaimable = (rest / others).ceil();
@@ -192,7 +192,7 @@
     let wanted = (target.reclaimable + extra).min(room);
     let (engines, cause) = match known.ordered {
         None => (wanted, "not ordered yet"),
-        Some(ordered) if wanted > ordered && beyond_band(settings, ordered, wanted) => {
+        Some(ordered) if wanted > ordered => {
             (wanted, if extra > 0 { "short of engines" } else { "more room is needed" })
         }
         Some(ordered) if is_too_large(settings, service, known, ordered, wanted) => {
@@ -257,14 +257,10 @@
 ) -> bool {
     service.may_lower
         && wanted < ordered
-        && beyond_band(settings, ordered, wanted)
+        && f64::from(ordered - wanted) > f64::from(ordered) * settings.dead_band
         && known.age >= settings.patience
 }
 
-fn beyond_band(settings: &CapacitySettings, ordered: u32, wanted: u32) -> bool {
-    f64::from(ordered.abs_diff(wanted)) > f64::from(ordered) * settings.dead_band
-}
-
 /// Why an order is sent again: engines are missing although they had time to start, or are still
 /// there.
 fn resend_cause(
--- a/crates/serve/src/capacity.rs
+++ b/crates/serve/src/capacity.rs
@@ -191,8 +191,7 @@
             peaks.pop_front();
         }
         let peak = peaks.iter().map(|(_, busy)| *busy).fold(0.0, f64::max);
-        let total: u32 = engines.values().flatten().sum();
-        let base = *self.bases.entry(name.clone()).or_insert(total);
+        let base = self.base(name, engines);
         let domains = engines.iter().map(|(domain, counts)| DomainCapacity {
             domain: domain.clone(),
             standing: self.kind(name, domain, EngineKind::Standing, counts[0], now),
@@ -211,6 +210,19 @@
         }
     }
 
+    /// Engines that operators provided: the most that stood before any was ordered away. They
+    /// register one after the other when the fleet starts.
+    fn base(&mut self, service: &Arc<str>, engines: &Engines) -> u32 {
+        let standing = engines.values().map(|counts| counts[0]).sum();
+        let mut places = self.stored.iter().filter(|((known, _), _)| known == service);
+        let lowered = places.any(|(_, stored)| stored.standing.is_some());
+        let base = self.bases.entry(service.clone()).or_insert(standing);
+        if !lowered {
+            *base = (*base).max(standing);
+        }
+        *base
+    }
+
     fn kind(
         &self,
         service: &Arc<str>,
