Engines: standing ones leave once as many others serve

Change: engines are given up once as many others serve in their domain and what is left carries the load; all domains at once while nobody calls.

--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -221,7 +221,8 @@
     let (engines, cause) = if wanted > has {
         (wanted, if extra > 0 { "short of engines" } else { "the reserve is too small" })
     } else if wanted < has {
-        if lowers || !is_replaced(settings, service, domain, target, has - wanted) {
+        let waits = lowers && service.busy >= 1.0;
+        if waits || !is_replaced(settings, service, domain, target, has - wanted) {
             return None;
         }
         (wanted, "others serve in their place")
@@ -231,8 +232,8 @@
     order(settings, domain, EngineKind::Standing, engines, cause)
 }
 
-/// Whether standing engines can be given up: the reclaimable ones of their domain serve, no domain
-/// has just given up others, and what is left carries the load.
+/// Whether standing engines can be given up: as many reclaimable ones of their domain serve, no domain
+/// has just given up others under load, and what is left carries the load.
 fn is_replaced(
     settings: &CapacitySettings,
     service: &ServiceCapacity,
@@ -243,8 +244,9 @@
     let serving: u32 = service.domains.iter().map(DomainCapacity::serving).sum();
     let left = f64::from(serving.saturating_sub(engines));
     let lowered_lately = service.lowered.is_some_and(|age| age < settings.pause);
-    let has_target = domain.reclaimable.serving >= target.reclaimable;
-    service.may_lower && has_target && !lowered_lately && left >= room(settings, service)
+    let replaced = domain.reclaimable.serving >= engines.min(target.reclaimable);
+    let is_idle = service.busy < 1.0;
+    service.may_lower && replaced && (is_idle || !lowered_lately) && left >= room(settings, service)
 }
 
 /// Whether an order can be made smaller: for long enough it was more than the load needs.
