Keys: checked at each attempt by the current configuration

Cause: a request that was accepted while no customers were configured was not checked again. If the configuration gained customers while its body was read or before a further attempt, `Authorization` was passed on to the endpoint and an unknown key was served. On public routes the name of a customer whose key was withdrawn, or no longer known to be current, was sent with further attempts. Whether a route is public was read from the configuration of the request's arrival. The body of a refused request was held in memory. In a large fleet, all instances called the store in the same moment when proofs ended.

Change: `check_key` sets the customer anew and removes `Authorization`; `access` looks up whether the route is public; bodies of refused requests are read and dropped; calls are spread over a quarter of the bound by the instance's draw. Problems that two customers share are told once in a row.

--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -9,6 +9,7 @@
 use agatestair_policy::board::{Denial, DenialCause, FailureKind, PlacementRequest};
 use agatestair_policy::{EndpointKey, QuarantineCheck};
 use agatestair_runtime::log_event;
+use http::header::AUTHORIZATION;
 use rand::Rng;
 use tokio::time::Instant;
 
@@ -222,17 +223,29 @@
     }
 
     /// Denies an attempt if the caller's key was withdrawn since the request was accepted.
-    fn check_key(&self, search: Search) -> Result<(), Denial> {
-        let Some(customer) = self.customer.clone() else { return Ok(()) };
+    ///
+    /// The configuration may have gained or lost all customers since then.
+    fn check_key(&mut self, search: Search) -> Result<(), Denial> {
         let (route, credential) = (self.route.clone(), self.credential);
         let access =
             self.shared.hub.ask(move |node, _| node.access(&route, credential, boot_now()));
+        if access != Access::Unchecked {
+            self.forwarded.headers.remove(AUTHORIZATION);
+        }
+        let former = self.customer.take();
         let cause = match access {
             Access::Unchecked | Access::Anonymous => return Ok(()),
-            Access::Granted(holder) if holder.name == customer.name => return Ok(()),
+            Access::Granted(holder)
+                if former.as_ref().is_none_or(|former| former.name == holder.name) =>
+            {
+                self.customer = Some(holder);
+                return Ok(());
+            }
             Access::Granted(_) | Access::Denied(_) => DenialCause::Withdrawn,
             Access::Unproven => DenialCause::Unproven,
         };
+        // The attempts before count for the customer on whose behalf they were sent.
+        self.customer = former;
         let denial = Denial { cause, retry_after: ELSEWHERE_RETRY_AFTER };
         self.log_denial(search, &denial, None, None);
         Err(denial)
--- a/crates/serve/src/customers.rs
+++ b/crates/serve/src/customers.rs
@@ -58,10 +58,14 @@
         for key in keys {
             let holder = self.keys.entry(key).or_insert_with(|| customer.clone());
             if holder.name != customer.name {
-                self.problems.push(format!(
+                let problem = format!(
                     "customer `{}` lists a key of customer `{}`; remove it from one of them",
                     customer.name, holder.name
-                ));
+                );
+                // Two customers may share many keys.
+                if self.problems.last() != Some(&problem) {
+                    self.problems.push(problem);
+                }
             }
         }
     }
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -24,7 +24,7 @@
 use crate::panics::catch_panic;
 use crate::plain::relay_plain;
 use crate::proof::boot_now;
-use crate::request_body::read_body;
+use crate::request_body::{drain_body, read_body};
 use crate::response::{DEFAULT_RETRY_AFTER, Failure, strip_hop_by_hop};
 use crate::send::{ForwardedRequest, Written};
 use crate::shared::Shared;
@@ -128,19 +128,28 @@
         };
         (node.limits(), found, access)
     });
-    let body =
-        read_body(&shared.request_limit, body, limits.body_bytes, arrived + limits.idle_time).await;
-    let (route, service, version) = match found {
+    let checks = access != Access::Unchecked;
+    let body_end = arrived + limits.idle_time;
+    let admitted = match found {
         RouteMatch::Unknown => {
             let cause = "no configuration is known yet";
-            return Err((None, Failure::NotRun { retry_after: DEFAULT_RETRY_AFTER, cause }));
+            Err((None, Failure::NotRun { retry_after: DEFAULT_RETRY_AFTER, cause }))
+        }
+        RouteMatch::Missing => Err((None, Failure::NoRoute)),
+        RouteMatch::Found { route, service, version } => match admit(access) {
+            Ok(customer) => Ok((route, service, version, customer)),
+            Err(failure) => Err((Some(route), failure)),
+        },
+    };
+    let (route, service, version, customer) = match admitted {
+        Ok(admitted) => admitted,
+        Err(refusal) => {
+            drain_body(body, limits.body_bytes, body_end).await;
+            return Err(refusal);
         }
-        RouteMatch::Missing => return Err((None, Failure::NoRoute)),
-        RouteMatch::Found { route, service, version } => (route, service, version),
     };
+    let body = read_body(&shared.request_limit, body, limits.body_bytes, body_end).await;
     let (body, _body_guard) = body.map_err(|failure| (Some(route.clone()), failure))?;
-    let checks = access != Access::Unchecked;
-    let customer = admit(access).map_err(|failure| (Some(route.clone()), failure))?;
     if head_bytes(&head) > limits.longest_head() {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         return Err((Some(route), Failure::BadRequest(status, "head too large")));
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -87,7 +87,7 @@
 pub use explain::explain;
 pub use hub::Hub;
 pub use members::{Group, Member, MemberState, Members};
-pub use node::{LimitChange, Node, NodeSettings, Search};
+pub use node::{LimitChange, Node, NodeSettings, ProofPlan, Search};
 pub use outbox::LoadChanges;
 pub use pacer::Pacer;
 pub use panics::catch_panic;
--- a/crates/serve/src/node/access.rs
+++ b/crates/serve/src/node/access.rs
@@ -15,6 +15,10 @@
 /// relies on others asks the store itself.
 const STALE_DIVISOR: u32 = 2;
 
+/// Share of the bound over which instances spread these calls when the proofs of others end for all
+/// of them at once. Larger values leave too little time for a call and its repetition.
+const STALE_SPREAD: f64 = 0.25;
+
 /// Largest age of a proof with which an unknown key is denied. With an older one the key may be new,
 /// and another instance may know it.
 const UNKNOWN_AGE: Duration = Duration::from_secs(2);
@@ -52,7 +56,7 @@
         };
         match (customer, credential) {
             (Some(customer), _) => Access::Granted(customer),
-            (None, _) if route.public => Access::Anonymous,
+            (None, _) if self.is_public(route) => Access::Anonymous,
             (None, Credential::Missing) => Access::Denied("no API key"),
             (None, Credential::Malformed) => Access::Denied("malformed API key"),
             (None, Credential::Key(_)) => {
@@ -63,6 +67,13 @@
         }
     }
 
+    /// Whether requests of a route need no key by the current configuration, which may be newer than
+    /// the route.
+    fn is_public(&self, route: &Route) -> bool {
+        let mut known = self.configuration.iter().flat_map(|known| known.routes());
+        known.find(|known| known.name == route.name).map_or(route.public, |known| known.public)
+    }
+
     /// The bound on the use of withdrawn keys, if keys are checked and there is one.
     fn revocation(&self) -> Option<Duration> {
         let checks = self.configuration.as_ref().is_some_and(|known| known.customers.is_some());
@@ -111,7 +122,8 @@
         } else {
             let members = self.members.count(now) as f64;
             let spread = Duration::from_secs_f64(members / FALLBACK_RATE);
-            let is_old = self.freshness.age(boot).is_none_or(|age| age >= bound / STALE_DIVISOR);
+            let stale = bound / STALE_DIVISOR + bound.mul_f64(STALE_SPREAD * self.settings.draw);
+            let is_old = self.freshness.age(boot).is_none_or(|age| age >= stale);
             is_old && asked >= period.max(spread)
         };
         if due { ProofPlan::Ask { row, share } } else { ProofPlan::Wait }
--- a/crates/serve/src/request_body.rs
+++ b/crates/serve/src/request_body.rs
@@ -28,6 +28,19 @@
     }
 }
 
+/// Reads and drops the body of a request that is refused, up to `max_bytes` and until `deadline`.
+///
+/// A connection that is closed with unread bytes is reset, and the caller may not see the refusal.
+pub async fn drain_body(mut body: Incoming, max_bytes: usize, deadline: Instant) {
+    let mut received = 0;
+    while received <= max_bytes {
+        match timeout_at(deadline, body.frame()).await {
+            Ok(Some(Ok(frame))) => received += frame.data_ref().map_or(0, bytes::Buf::remaining),
+            Ok(None | Some(Err(_))) | Err(_) => return,
+        }
+    }
+}
+
 async fn collect(
     mut body: Incoming,
     max_bytes: usize,
