Proofs: a restarted store clock no longer ends service for good

Cause: the time up to which changes are known was the largest ever noted. After the store's clock began anew with an earlier time, or after a late proof of its former run, no proof of the current run counted, and requests with keys were refused until the process was restarted. A proof from the future was kept and counted as young once the clock had passed its time; so did a proof that was noted before any call of the instance's own. A slow store clock made ages too small by 0.1%. A call to a silent store delayed by up to 0.9 s that the instance was reported as not ready, and a store without `nowMs` was refused without a log line.

--- a/crates/serve/src/proof.rs
+++ b/crates/serve/src/proof.rs
@@ -30,6 +30,18 @@
 
 /// Keeps the proof young as long as the configuration lists customers.
 pub async fn keep_proof(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
+    // A call to a silent store takes long, and must not delay that this instance is not ready.
+    tokio::join!(ask_store(&shared, &socket), check_lapse(&shared));
+}
+
+async fn check_lapse(shared: &Shared) {
+    loop {
+        update_lapse(shared);
+        sleep(CHECK).await;
+    }
+}
+
+async fn ask_store(shared: &Shared, socket: &UdpSocket) {
     let mut asked: Option<Moment> = None;
     let mut round = 0;
     loop {
@@ -37,16 +49,15 @@
         let plan = shared.hub.ask(move |node, now| node.plan_proof(since, now, boot_now()));
         if let ProofPlan::Ask { row, share } = plan {
             asked = Some(boot_now());
-            let proof = prove(&shared, row).await;
-            update_lapse(&shared);
+            let proof = prove(shared, row).await;
+            update_lapse(shared);
             if let Some(proof) = proof.filter(|_| share) {
                 let audience =
                     shared.hub.ask(move |node, now| node.members.broadcast_audience(round, now));
-                send_all(&shared, &socket, &Datagram::Proof(proof.into()), &audience).await;
+                send_all(shared, socket, &Datagram::Proof(proof.into()), &audience).await;
                 round += 1;
             }
         }
-        update_lapse(&shared);
         sleep(CHECK).await;
     }
 }
@@ -65,8 +76,10 @@
     let received = boot_now();
     shared.note_timeline(&reply);
     let timeline = reply.timeline.as_ref().and_then(|named| named.as_ref().ok()).copied();
-    let outcome = match reply.outcome {
-        Ok(committed) => committed.clock_ms.map(|at_ms| Proof { row, timeline, at_ms }),
+    let undated = || StoreError::Malformed("no time of its clock".to_owned());
+    let at_ms = reply.outcome.and_then(|committed| committed.clock_ms.ok_or_else(undated));
+    let outcome = match at_ms {
+        Ok(at_ms) => Some(Proof { row, timeline, at_ms }),
         Err(StoreError::Conflict) => {
             refresh(shared, Table::Configuration).await;
             None
@@ -79,8 +92,8 @@
     };
     let proof = outcome?;
     shared.hub.ask(move |node, _| {
-        node.freshness.clock.note(proof.at_ms, sent, received);
-        node.freshness.note_proof(proof)
+        node.freshness.note_clock(proof.at_ms, sent, received);
+        node.freshness.note_proof(proof, received)
     });
     Some(proof)
 }
@@ -90,7 +103,7 @@
     let proof = Proof::from(proof);
     let behind = shared.hub.ask(move |node, now| {
         let same = node.timeline.current() == proof.timeline;
-        if !node.freshness.note_proof(proof) && same {
+        if !node.freshness.note_proof(proof, boot_now()) && same {
             node.cursor(Table::Configuration).note_tip(proof.row, now);
             return true;
         }
