Holder of duties: tokens never return, holders need the store

A process adopted any row that named it, so that after a refusal (409) or a restore from a copy an old token was sent again. A holder that reached the others but not the store announced itself for ever. Announcements of a former holder redirected the counts. A lost answer made a holder that collected no counts. A first tenure, or one after an own row, acted at once, also after a restore. A process suspended while it connected sent a late call. Calls were not limited to `calls_s`.

--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -231,6 +231,30 @@
     Ok(response)
 }
 
+/// Sends a request on an open connection, reads the whole response and closes the connection.
+///
+/// # Errors
+///
+/// Returns a description of the error.
+pub async fn exchange_on(
+    mut open: Connection,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+    max_bytes: usize,
+) -> Result<Response<Bytes>, String> {
+    let work = async {
+        let response = open.send(request).await.map_err(|error| match error {
+            SendError::NotSent(_) => "connection closed".to_owned(),
+            SendError::Unknown(error) => error.to_string(),
+        })?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, max_bytes).collect().await;
+        let body = body.map_err(|error| error.to_string())?.to_bytes();
+        Ok(Response::from_parts(head, body))
+    };
+    timeout(limit, work).await.map_err(|_| "no response in time".to_owned())?
+}
+
 /// Sends a request of an adapter on a new connection, and reads the whole response.
 ///
 /// # Errors
--- a/crates/serve/src/duty.rs
+++ b/crates/serve/src/duty.rs
@@ -20,7 +20,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 
-use crate::connection::{Connection, ConnectionSettings, exchange};
+use crate::connection::{Connection, ConnectionSettings, exchange_on};
 use crate::datagram::{Datagram, PulseDuty};
 use crate::events::{DUTIES_LOST, DUTIES_RELEASED, DUTIES_TAKEN, DUTY_CALLED, DUTY_FAILED};
 use crate::proof::boot_now;
@@ -44,6 +44,13 @@
 /// Timeout of a call. Its connection is then reset, so that nothing of it is delivered later.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Share of the calls that the API accepts per second that the holder makes, since the API may
+/// count them in other intervals.
+const CALL_SHARE: f64 = 0.8;
+
+/// Longest pause between two calls, so that a call is made while its confirmation is valid.
+const MAX_CALL_PAUSE: Duration = Duration::from_millis(100);
+
 /// Largest response of the platform's API that is read, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024;
 
@@ -129,6 +136,11 @@
     shared.hub.ask(|node, _| node.tenures.as_ref()?.current(boot_now()))
 }
 
+/// The tenure of this instance, also one that may not act yet.
+fn held(shared: &Shared) -> Option<Tenure> {
+    shared.hub.ask(|node, _| node.tenures.as_ref().and_then(Tenures::held))
+}
+
 /// All rows of the duties.
 ///
 /// # Errors
@@ -158,10 +170,17 @@
     let at = boot_now();
     let reply = (shared.store.commit)(transaction).await;
     match shared.settle(reply) {
-        Ok(_) => Ok(Confirmed { tenure, at }),
+        Ok(_) => {
+            shared.hub.ask(move |node, _| {
+                node.tenures
+                    .iter_mut()
+                    .for_each(|known| known.note_confirmed(tenure, at, boot_now()));
+            });
+            Ok(Confirmed { tenure, at })
+        }
         Err(StoreError::Conflict) => {
             read_holder(shared).await?;
-            let held = shared.hub.ask(|node, _| node.tenures.as_ref().and_then(Tenures::held));
+            let held = held(shared);
             Err(if held == Some(tenure) { DutyError::Conflict } else { DutyError::Lost })
         }
         Err(error) => Err(DutyError::Store(error)),
@@ -194,12 +213,21 @@
     *request.uri_mut() = path.map_err(|_| DutyError::Unanswered("malformed path".to_owned()))?;
     let fencing = confirmed.tenure.fencing;
     (shared.wire.write_tenure)(&settings.instance.name, fencing, request.headers_mut());
-    if boot_now().since(confirmed.at) > ACT_TIME {
+    pace(shared).await;
+    let connection = ConnectionSettings { connect: ACT_TIME, reset: true, ..Default::default() };
+    let opened = Connection::open(address, &connection).await.map_err(|error| error.to_string());
+    // The time counts once the connection is open, so that a process that was suspended while it
+    // connected does not send a call of a former holder.
+    if opened.is_ok() && boot_now().since(confirmed.at) > ACT_TIME {
         return Err(DutyError::Late);
     }
-    let connection = ConnectionSettings { reset: true, ..ConnectionSettings::default() };
-    let response =
-        exchange(&mut None, address, &connection, request, CALL_TIMEOUT, MAX_RESPONSE_BYTES).await;
+    if tenure(shared) != Some(confirmed.tenure) {
+        return Err(DutyError::Lost);
+    }
+    let response = match opened {
+        Ok(open) => exchange_on(open, request, CALL_TIMEOUT, MAX_RESPONSE_BYTES).await,
+        Err(error) => Err(error),
+    };
     let status = response
         .as_ref()
         .map_or("none".to_owned(), |response| response.status().as_str().to_owned());
@@ -222,6 +250,20 @@
     }
 }
 
+/// Waits until the API accepts a further call of this instance.
+async fn pace(shared: &Shared) {
+    let calls_s = shared.settings().duties.as_ref().map_or(0.0, |duties| duties.calls_s);
+    let pause = Duration::try_from_secs_f64(1.0 / (calls_s * CALL_SHARE)).unwrap_or_default();
+    let pause = pause.min(MAX_CALL_PAUSE);
+    let now = boot_now();
+    let at = shared.hub.ask(move |node, _| {
+        let at = node.next_call.map_or(now, |next| next.max(now));
+        node.next_call = Some(at + pause);
+        at
+    });
+    sleep(at.since(now)).await;
+}
+
 /// The beginning of a response that explains a failure.
 fn shorten(body: &[u8]) -> String {
     String::from_utf8_lossy(body).chars().take(MAX_SHOWN).collect()
@@ -233,6 +275,10 @@
         let now = boot_now();
         node.tenures.iter_mut().for_each(|tenures| tenures.lose(now));
     });
+    note_lost(shared, cause);
+}
+
+fn note_lost(shared: &Shared, cause: &str) {
     metrics::counter!("agatestair_serve_duties_lost_total").increment(1);
     log_event!(shared.log, DUTIES_LOST, "cause" => cause);
 }
@@ -242,11 +288,18 @@
     let leaving = shared.leaving.clone();
     let mut announced: Option<Moment> = None;
     let mut round = 0;
-    while shared.settings().duties.is_some() && !leaving.is_cancelled() {
-        let (step, held) = shared.hub.ask(|node, now| {
+    while !leaving.is_cancelled() {
+        let wanted = shared.settings().duties.is_some();
+        let expired = shared
+            .hub
+            .ask(|node, _| node.tenures.as_mut().is_some_and(|known| known.expire(boot_now())));
+        if expired {
+            note_lost(&shared, "the store does not confirm the tenure");
+        }
+        let step = shared.hub.ask(move |node, now| {
             let ahead = node.rank_position(now);
-            let Some(tenures) = &node.tenures else { return (TenureStep::Wait, None) };
-            (tenures.step(ahead, unix_ms(), boot_now()), tenures.held())
+            let tenures = node.tenures.as_ref().filter(|_| wanted);
+            tenures.map_or(TenureStep::Wait, |known| known.step(ahead, unix_ms(), boot_now()))
         });
         match step {
             TenureStep::Wait => {}
@@ -259,15 +312,20 @@
             }
             TenureStep::Take { row, version } => take(&shared, row, version).await,
         }
-        let due = announced.is_none_or(|at| boot_now().since(at) >= ANNOUNCE);
+        let held = shared.hub.ask(|node, _| node.tenures.as_ref()?.announced(boot_now()));
+        let due = wanted && announced.is_none_or(|at| boot_now().since(at) >= ANNOUNCE);
         if let Some(held) = held.filter(|_| due) {
             announced = Some(boot_now());
             let audience =
                 shared.hub.ask(move |node, now| node.members.broadcast_audience(round, now));
-            let news = shared.hub.ask(move |node, _| PulseDuty {
-                sender: node.name_hash,
-                fencing: held.fencing,
-                settled: node.usage.settled,
+            let news = shared.hub.ask(move |node, _| {
+                // Also after a transaction whose outcome was unknown took the duties.
+                node.holder = Some((node.name_hash, held.fencing));
+                PulseDuty {
+                    sender: node.name_hash,
+                    fencing: held.fencing,
+                    settled: node.usage.settled,
+                }
             });
             send_all(&shared, &socket, &Datagram::Duty(news), &audience).await;
             round += 1;
@@ -290,7 +348,8 @@
         let now = boot_now();
         let lost = other
             && node.tenures.as_mut().is_some_and(|known| known.note_announced(news.fencing, now));
-        if other || node.holder.is_none() {
+        // A former holder may announce itself until it learns that it was replaced.
+        if other && node.holder.is_none_or(|(_, fencing)| fencing <= news.fencing) {
             node.holder = Some((news.sender, news.fencing));
         }
         if let Some(settled) = news.settled {
@@ -317,8 +376,8 @@
         Err(_) => HolderRow { holder: "".into(), born: 0, fencing: 0, released: false },
     });
     let gone = match &row {
-        Some(row) => is_gone(shared, row).await,
-        None => false,
+        Some(row) if *row.holder != *shared.settings().instance.name => is_gone(shared, row).await,
+        _ => false,
     };
     let (lost, holder) = (row.clone(), row.as_ref().map(|row| row.holder.to_string()));
     let lost = shared.hub.ask(move |node, _| {
@@ -372,6 +431,9 @@
         }
         Err(error) => {
             log_event!(shared.log, DUTY_FAILED, "duty" => "holder", "error" => error.to_string());
+            shared.hub.ask(move |node, _| {
+                node.tenures.iter_mut().for_each(|known| known.note_attempted(&row));
+            });
             // The transaction may have been applied, which the row shows.
             if let Err(error) = read_holder(shared).await {
                 log_event!(shared.log, DUTY_FAILED, "duty" => "holder",
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -202,6 +202,8 @@
     lapsed: bool,
     /// The duties, if the settings assign any.
     pub tenures: Option<Tenures>,
+    /// When the platform's API accepts the next call of this instance.
+    pub next_call: Option<Moment>,
     /// Hash of the name of the instance that last announced itself as the holder of the duties, and
     /// its fencing token.
     pub holder: Option<(u64, u64)>,
@@ -255,6 +257,7 @@
             lapsed: false,
             tenures: None,
             holder: None,
+            next_call: None,
             usage: Usage::default(),
             configurations: Cursor::default(),
             endpoints: Cursor::default(),
