Usage: no window is skipped or worded twice, each run is counted

Cause: review. Without rows a holder began with the current window and skipped those since the start; with rows restored from a copy it settled reported windows again with other counts; after a long outage it reported windows whose counts were gone. A clock that runs ahead displaced open windows. Streams without a head, and requests whose caller disconnected, were never counted.

Change: the first window follows from the start and from the windows known to be settled; at most 12 are made up for; later windows than the next are rejected; `RunMeter` counts a written request that has no other end when it is dropped. The last sums are sent three times at an exit.

--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -26,9 +26,9 @@
 use crate::response::{
     DEFAULT_RETRY_AFTER, ELSEWHERE_RETRY_AFTER, Failure, not_run, not_run_within,
 };
+use crate::run_meter::RunMeter;
 use crate::send::{Dispatch, ForwardedRequest, SendOutcome, Written, build_request, send};
 use crate::shared::Shared;
-use crate::usage::note_run;
 use crate::wire::{CallFacts, Outbound, Phase};
 
 /// Maximum number of endpoints that a request is sent to, including those that refuse it.
@@ -94,10 +94,8 @@
     pub crashes: u32,
     /// Whether the request is the trial of a quarantined prompt part.
     pub trial: bool,
-    /// When the latest attempt was written.
-    pub written: Written,
-    /// Whether the request was counted as one that an endpoint began to run.
-    pub metered: bool,
+    /// Counts the request for the usage reports.
+    pub meter: RunMeter,
 }
 
 /// A request on its way to an endpoint; dropping it closes the connection.
@@ -329,7 +327,6 @@
     ) -> SendOutcome {
         let sending = self.begin_send(guard, work, phase, None);
         self.backup = sending.backup;
-        self.written = sending.written.clone();
         let sent = sending.outcome.await;
         self.note_sent(sending.key, &sent);
         sent
@@ -363,6 +360,10 @@
         let may_reuse = !self.dispatches.has_reached(guard.placement.key);
         let key = self.dispatches.begin(work, guard.placement.key);
         let written = Written::default();
+        // A prefill is not a run.
+        if matches!(work, Work::Run) {
+            self.meter.begin(key, written.clone());
+        }
         let Some(grounds) = grounds else {
             let sent = SendOutcome::Unknown("the request may have run before".to_owned());
             return Sending { outcome: Box::pin(ready(sent)), backup: None, written, key };
@@ -385,6 +386,9 @@
         };
         if let Some(end) = end {
             self.dispatches.end(key, end);
+            if end != End::Unsure {
+                self.meter.spare(key);
+            }
         }
         if end != Some(End::NotWritten) {
             self.sends += 1;
@@ -403,22 +407,6 @@
         self.shared.hub.ask(move |node, now| node.place_backup(&request, key, connections, now))
     }
 
-    /// Counts the request for the usage reports, once, as one that an endpoint began to run.
-    pub fn note_run(&mut self, began: Instant) {
-        let customer = self.customer.as_ref().filter(|_| !self.metered);
-        if let Some(customer) = customer {
-            note_run(&self.shared, &customer.name, began);
-            self.metered = true;
-        }
-    }
-
-    /// Counts the request as one that began to run when its latest attempt was written, if it was.
-    pub fn note_written_run(&mut self) {
-        if let Some(written) = self.written.get() {
-            self.note_run(written);
-        }
-    }
-
     /// Records the duration of a request that was answered completely or has timed out.
     pub fn note_duration(&self) {
         let Some(begun) = &self.begun else { return };
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -235,7 +235,7 @@
                 return Step::Respond(Box::new((guard, *response)));
             }
             call.note_failed(&guard, FailureKind::Failed, "the endpoint failed");
-            call.note_run(Instant::now());
+            call.meter.note(Instant::now());
             let again = !progress.awaited.is_promising() && call.may_run_again();
             if !again && alone {
                 return Step::Respond(Box::new((guard, *response)));
@@ -354,7 +354,7 @@
     if success {
         guard.note_first();
     }
-    call.note_run(Instant::now());
+    call.meter.note(Instant::now());
     call.answering = true;
     let (status, headers) = (response.status, response.headers.clone());
     let body = relay(call, guard, response);
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -26,7 +26,8 @@
 use crate::proof::boot_now;
 use crate::request_body::{drain_body, read_body};
 use crate::response::{DEFAULT_RETRY_AFTER, Failure, strip_hop_by_hop};
-use crate::send::{ForwardedRequest, Written};
+use crate::run_meter::RunMeter;
+use crate::send::ForwardedRequest;
 use crate::shared::Shared;
 use crate::wire::CallFacts;
 
@@ -166,6 +167,7 @@
     };
     let timeout = facts.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let id = facts.id.as_deref().map(Rc::from);
+    let metered = customer.clone();
     let call = Call {
         shared: shared.clone(),
         forwarded: ForwardedRequest { id, method: head.method, uri, headers, body },
@@ -187,8 +189,7 @@
         answering: false,
         crashes: 0,
         trial: false,
-        written: Written::default(),
-        metered: false,
+        meter: RunMeter::new(shared.clone(), metered),
     };
     let (service, matched) = (call.service.name.clone(), route.clone());
     shared.hub.ask(move |node, now| node.note_first(&service, now));
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -56,6 +56,7 @@
 mod response;
 mod room;
 mod run;
+mod run_meter;
 mod send;
 mod shared;
 mod sharing;
--- a/crates/serve/src/plain.rs
+++ b/crates/serve/src/plain.rs
@@ -38,7 +38,7 @@
         };
         let outcome = timeout_at(deadline, attempt).await;
         if matches!(outcome, Err(_) | Ok(Ok(_) | Err(SendOutcome::Unknown(_)))) {
-            call.note_written_run();
+            call.meter.note_written();
         }
         let Ok(outcome) = outcome else {
             call.note_duration();
--- a/crates/serve/src/usage.rs
+++ b/crates/serve/src/usage.rs
@@ -44,7 +44,7 @@
 
 /// Part of the time until a report is due for which the holder waits for instances that have not
 /// sent all of their requests.
-const WAIT_SHARE: f64 = 0.4;
+const WAIT_SHARE: f64 = 0.3;
 
 /// Windows before the current one that are reported after an outage.
 const MAX_MISSED: u64 = 12;
@@ -58,6 +58,12 @@
 /// Longest pause after a call that failed.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 
+/// Number of times that a process sends its sums when it exits, since datagrams may be lost.
+const FLUSHES: u32 = 3;
+
+/// Time between two of these.
+const FLUSH_PAUSE: Duration = Duration::from_millis(40);
+
 /// Largest number of customers in one datagram.
 const MAX_ENTRIES: usize = 250;
 
@@ -89,6 +95,7 @@
     pub fn settle(&mut self, window: u64) {
         self.settled = self.settled.max(Some(window));
         self.meter.settle(window);
+        self.ledger.settle(window);
         self.acked.retain(|known, _| *known > window);
         self.sent.retain(|known, _| *known > window);
     }
@@ -131,7 +138,11 @@
 /// Sends all sums that are not settled, since the process exits.
 pub async fn flush_usage(shared: &Shared, socket: &UdpSocket) {
     if has_duty(shared, DutyKind::UsageReport) {
-        send_due(shared, socket, true).await;
+        // Nothing repeats them later.
+        for _ in 0..FLUSHES {
+            send_due(shared, socket, true).await;
+            sleep(FLUSH_PAUSE).await;
+        }
     }
 }
 
@@ -215,8 +226,13 @@
     let PulseUsage { sender, born, window, total, closed, counts } = news;
     let counts: UsageCounts =
         counts.into_iter().map(|(name, count)| (Arc::from(name), count)).collect();
+    // Windows of a clock that runs ahead would displace those that are open.
+    let latest = windows(shared).of(unix_ms()) + 1;
     shared.hub.ask(move |node, _| {
         let (holder, fencing) = node.holder?;
+        if window > latest {
+            return None;
+        }
         let is_late = node.usage.settled.is_some_and(|settled| window <= settled);
         if holder != node.name_hash || is_late {
             return None;
@@ -313,7 +329,12 @@
     pending.sort_by_key(|report| report.window);
     let current = windows(shared).of(unix_ms());
     let last = pending.last().map(|report| report.window);
-    let next = last.map_or(current, |last| (last + 1).max(current.saturating_sub(MAX_MISSED)));
+    // The windows that this instance knows to be settled count too: the rows of a store that was
+    // restored from a copy end earlier. Without rows, the first window is that of its own start.
+    let (started, settled) =
+        shared.hub.ask(|node, _| (node.usage.meter.first(), node.usage.settled));
+    let next = last.max(settled).map_or(started.min(current), |last| last + 1);
+    let next = next.max(current.saturating_sub(MAX_MISSED));
     let rows = pending.iter().map(|report| report.window).collect();
     if let Some(last) = last {
         shared.hub.ask(move |node, _| node.usage.settle(last));
@@ -336,6 +357,9 @@
         }
         return Ok(reporter);
     }
+    // The counts of windows before these are no longer known.
+    let earliest = windows(shared).of(unix_ms()).saturating_sub(MAX_MISSED);
+    reporter.next = reporter.next.max(earliest);
     let window = reporter.next;
     if !is_due(shared, window) {
         return Ok(reporter);
@@ -350,10 +374,7 @@
     let (requests, customers) = (usage_total(&counts), counts.len());
     log_event!(shared.log, USAGE_SETTLED, "window" => window, "requests" => requests,
         "customers" => customers, "fencing" => reporter.tenure.fencing);
-    shared.hub.ask(move |node, _| {
-        node.usage.settle(window);
-        node.usage.ledger.settle(window);
-    });
+    shared.hub.ask(move |node, _| node.usage.settle(window));
     reporter.next = window + 1;
     reporter.rows.push(window);
     reporter.pending.push(Report { window, body: body.clone() });
