Capacity: shortfalls add up, engines go only once others serve

Engines that were short were added to the target and not to the order, so that a second shortfall was not answered. The first order could take engines away. Each domain ordered the whole shortfall of standing engines. Orders were lowered although too few would serve, and standing ones never where they fill the limit or within the dead band. 429 and lost answers counted as `none available`. The provided fleet was measured while it was still registering. A load that rises and falls within a minute had engines ordered away and back in each period.

Change: as above; a count of spare engines over all domains limits each lowering; peaks count for 60 s.

--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -20,7 +20,10 @@
     pub pause: Duration,
     /// Time for which the room must have been too large before it is made smaller.
     pub patience: Duration,
-    /// Reduction of an order below which it is left as it is, relative to the order.
+    /// Time for which a peak of the load counts. With 20 s, a load that rises and falls within a
+    /// minute had engines ordered away and back in each period.
+    pub peak_time: Duration,
+    /// Change of an order below which it is left as it is, relative to the order.
     pub dead_band: f64,
 }
 
@@ -32,6 +35,7 @@
             reserve: 0.05,
             pause: Duration::from_secs(3),
             patience: Duration::from_secs(20),
+            peak_time: Duration::from_secs(60),
             dead_band: 0.2,
         }
     }
@@ -57,12 +61,20 @@
     pub age: Duration,
     /// Whether the platform had none the last time.
     pub refused: bool,
+    /// Whether it is not known that the platform received the last order.
+    pub unanswered: bool,
 }
 
 impl KindCapacity {
     /// Engines that are expected to serve soon.
     fn expected(&self) -> u32 {
-        self.ordered.filter(|_| !self.refused).unwrap_or(self.serving)
+        let ordered = self.ordered.filter(|_| !self.refused).unwrap_or(self.serving);
+        ordered.max(self.serving)
+    }
+
+    /// Engines that serve and were not ordered away.
+    fn kept(&self) -> u32 {
+        self.ordered.map_or(self.serving, |ordered| ordered.min(self.serving))
     }
 }
 
@@ -78,8 +90,8 @@
 }
 
 impl DomainCapacity {
-    fn serving(&self) -> u32 {
-        self.standing.serving + self.reclaimable.serving
+    fn kept(&self) -> u32 {
+        self.standing.kept() + self.reclaimable.kept()
     }
 
     fn kind(&self, kind: EngineKind) -> &KindCapacity {
@@ -137,11 +149,17 @@
 pub fn plan_capacity(settings: &CapacitySettings, service: &ServiceCapacity) -> Vec<CapacityOrder> {
     let target = target(settings, service);
     let mut orders = Vec::new();
+    let mut spare = spare(settings, service);
     let mut lowers = false;
     for domain in &service.domains {
-        orders.extend(reclaimable_order(settings, service, domain, target));
-        if let Some(order) = standing_order(settings, service, domain, target, lowers) {
-            lowers |= order.engines < domain.standing.serving;
+        if let Some(order) = reclaimable_order(settings, service, domain, target, spare) {
+            spare = spare.saturating_sub(domain.reclaimable.kept().saturating_sub(order.engines));
+            orders.push(order);
+        }
+        if let Some(order) = standing_order(settings, service, domain, target, spare, lowers) {
+            let fewer = domain.standing.kept().saturating_sub(order.engines);
+            spare = spare.saturating_sub(fewer);
+            lowers |= fewer > 0;
             orders.push(order);
         }
     }
@@ -167,14 +185,18 @@
     (service.peak / settings.utilization).max(f64::from(service.base) * settings.base_share)
 }
 
+/// Number of engines that serve beyond those that must remain.
+fn spare(settings: &CapacitySettings, service: &ServiceCapacity) -> u32 {
+    let kept: u32 = service.domains.iter().map(DomainCapacity::kept).sum();
+    kept.saturating_sub(room(settings, service).ceil() as u32)
+}
+
 /// Number of engines by which the present load exceeds those that serve or will soon.
 fn shortfall(settings: &CapacitySettings, service: &ServiceCapacity) -> u32 {
-    let expected = service.domains.iter().map(|domain| {
-        domain.standing.expected().max(domain.standing.serving)
-            + domain.reclaimable.expected().max(domain.reclaimable.serving)
-    });
+    let expected = service.domains.iter();
+    let expected = expected.map(|known| known.standing.expected() + known.reclaimable.expected());
     let need = (service.busy / settings.utilization).ceil() as u32;
-    need.saturating_sub(expected.sum())
+    need.saturating_sub(expected.sum::<u32>())
 }
 
 fn reclaimable_order(
@@ -182,6 +204,7 @@
     service: &ServiceCapacity,
     domain: &DomainCapacity,
     target: Target,
+    spare: u32,
 ) -> Option<CapacityOrder> {
     let known = &domain.reclaimable;
     let occupied = domain.standing.serving.max(domain.standing.ordered.unwrap_or(0));
@@ -189,13 +212,16 @@
     let open = service.domains.iter().filter(|other| !other.reclaimable.refused).count().max(1);
     let extra = shortfall(settings, service).div_ceil(u32::try_from(open).unwrap_or(u32::MAX));
     let extra = if known.refused { 0 } else { extra };
-    let wanted = (target.reclaimable + extra).min(room);
+    // What is short comes on top of what is expected, which may exceed the target already.
+    let raised = if extra > 0 { known.expected() + extra } else { 0 };
+    let wanted = target.reclaimable.max(raised).min(room);
     let (engines, cause) = match known.ordered {
-        None => (wanted, "not ordered yet"),
+        // The first order takes no engine away: its row may have been lost.
+        None => (wanted.max(known.serving), "not ordered yet"),
         Some(ordered) if wanted > ordered => {
             (wanted, if extra > 0 { "short of engines" } else { "more room is needed" })
         }
-        Some(ordered) if is_too_large(settings, service, known, ordered, wanted) => {
+        Some(ordered) if is_too_large(settings, service, known, ordered, wanted, spare) => {
             (wanted, "less room is needed")
         }
         Some(ordered) => (ordered, resend_cause(service, known, ordered)?),
@@ -211,18 +237,22 @@
     service: &ServiceCapacity,
     domain: &DomainCapacity,
     target: Target,
+    spare: u32,
     lowers: bool,
 ) -> Option<CapacityOrder> {
     let known = &domain.standing;
     let stranded = service.domains.iter().all(|other| other.reclaimable.refused);
-    let extra = if stranded { shortfall(settings, service) } else { 0 };
-    let wanted = (target.standing + extra).min(service.most);
+    let domains = u32::try_from(service.domains.len().max(1)).unwrap_or(u32::MAX);
+    let extra = if stranded { shortfall(settings, service).div_ceil(domains) } else { 0 };
+    let raised = if extra > 0 { known.expected() + extra } else { 0 };
+    let wanted = target.standing.max(raised).min(service.most);
     let has = known.ordered.unwrap_or(known.serving);
     let (engines, cause) = if wanted > has {
         (wanted, if extra > 0 { "short of engines" } else { "the reserve is too small" })
     } else if wanted < has {
-        let waits = lowers && service.busy >= 1.0;
-        if waits || !is_replaced(settings, service, domain, target, has - wanted) {
+        let fewer = known.kept().saturating_sub(wanted);
+        let waits = lowers && !is_idle(service);
+        if waits || fewer > spare || !is_replaced(settings, service, domain, target, fewer) {
             return None;
         }
         (wanted, "others serve in their place")
@@ -232,21 +262,26 @@
     order(settings, domain, EngineKind::Standing, engines, cause)
 }
 
-/// Whether standing engines can be given up: as many reclaimable ones of their domain serve, no domain
-/// has just given up others under load, and what is left carries the load.
+/// Whether standing engines can be given up: as many reclaimable ones of their domain serve, as far as
+/// there is room for them, and no domain has just given up others under load.
 fn is_replaced(
     settings: &CapacitySettings,
     service: &ServiceCapacity,
     domain: &DomainCapacity,
     target: Target,
-    engines: u32,
+    fewer: u32,
 ) -> bool {
-    let serving: u32 = service.domains.iter().map(DomainCapacity::serving).sum();
-    let left = f64::from(serving.saturating_sub(engines));
     let lowered_lately = service.lowered.is_some_and(|age| age < settings.pause);
-    let replaced = domain.reclaimable.serving >= engines.min(target.reclaimable);
-    let is_idle = service.busy < 1.0;
-    service.may_lower && replaced && (is_idle || !lowered_lately) && left >= room(settings, service)
+    let free = service.most.saturating_sub(domain.standing.serving);
+    // The target rises with the load, which must not keep the engines that are to be replaced.
+    let goal = target.reclaimable.min(free).min(fewer);
+    let is_replaced = domain.reclaimable.serving >= goal;
+    service.may_lower && is_replaced && (is_idle(service) || !lowered_lately)
+}
+
+/// Whether nobody notices that engines leave.
+fn is_idle(service: &ServiceCapacity) -> bool {
+    service.busy < 1.0
 }
 
 /// Whether an order can be made smaller: for long enough it was more than the load needs.
@@ -256,13 +291,19 @@
     known: &KindCapacity,
     ordered: u32,
     wanted: u32,
+    spare: u32,
 ) -> bool {
     service.may_lower
         && wanted < ordered
-        && f64::from(ordered - wanted) > f64::from(ordered) * settings.dead_band
+        && known.kept().saturating_sub(wanted) <= spare
+        && beyond_band(settings, ordered, wanted)
         && known.age >= settings.patience
 }
 
+fn beyond_band(settings: &CapacitySettings, ordered: u32, wanted: u32) -> bool {
+    f64::from(ordered.abs_diff(wanted)) > f64::from(ordered) * settings.dead_band
+}
+
 /// Why an order is sent again: engines are missing although they had time to start, or are still
 /// there.
 fn resend_cause(
@@ -273,6 +314,9 @@
     if known.refused {
         return Some("refused before");
     }
+    if known.unanswered {
+        return Some("no answer before");
+    }
     // Twice the time to start: orders may be carried out late.
     let had_time = known.age >= service.boot * 2;
     (known.serving != ordered && had_time).then_some("not carried out")
--- a/crates/serve/src/capacity.rs
+++ b/crates/serve/src/capacity.rs
@@ -14,6 +14,7 @@
 };
 use agatestair_runtime::log_event;
 use agatestair_schema::settings::DutyKind;
+use http::StatusCode;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
@@ -31,9 +32,6 @@
 /// Time between two decisions.
 const INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time for which a peak of the load counts.
-const PEAK_TIME: Duration = Duration::from_secs(20);
-
 /// Time after which a new holder knows enough to order engines away.
 const LEARNING_TIME: Duration = Duration::from_secs(5);
 
@@ -79,6 +77,7 @@
 struct Sent {
     at: Moment,
     refused: bool,
+    unanswered: bool,
 }
 
 /// What the holder knows of its orders.
@@ -141,7 +140,10 @@
             let place: Place = (service.into(), domain.into());
             if let Ok(stored) = serde_json::from_slice(&value) {
                 for kind in [EngineKind::Standing, EngineKind::Reclaimable] {
-                    orders.sent.insert((place.clone(), kind), Sent { at: now, refused: false });
+                    orders.sent.insert(
+                        (place.clone(), kind),
+                        Sent { at: now, refused: false, unanswered: false },
+                    );
                 }
                 orders.stored.insert(place, stored);
             }
@@ -167,6 +169,9 @@
     let Some((enough, services)) = services else { return Ok(orders) };
     for (name, scaling, engines, busy) in services {
         let view = orders.view(&name, &scaling, &engines, busy, enough);
+        if !orders.is_ready(&name) {
+            continue;
+        }
         for order in plan_capacity(&CapacitySettings::default(), &view) {
             send(shared, &mut orders, &name, &view, order).await?;
         }
@@ -185,13 +190,21 @@
         enough: bool,
     ) -> ServiceCapacity {
         let now = boot_now();
+        let peak_time = CapacitySettings::default().peak_time;
         let peaks = self.peaks.entry(name.clone()).or_default();
         peaks.push_back((now, busy));
-        while peaks.front().is_some_and(|(at, _)| now.since(*at) > PEAK_TIME) {
+        while peaks.front().is_some_and(|(at, _)| now.since(*at) > peak_time) {
             peaks.pop_front();
         }
         let peak = peaks.iter().map(|(_, busy)| *busy).fold(0.0, f64::max);
-        let base = self.base(name, engines);
+        let total: u32 = engines.values().flatten().sum();
+        // Engines that operators provide register one after the other at the start of a fleet.
+        let has_orders = self.has_orders(name);
+        let known = self.bases.entry(name.clone()).or_insert(total);
+        if !has_orders {
+            *known = (*known).max(total);
+        }
+        let base = *known;
         let domains = engines.iter().map(|(domain, counts)| DomainCapacity {
             domain: domain.clone(),
             standing: self.kind(name, domain, EngineKind::Standing, counts[0], now),
@@ -210,17 +223,14 @@
         }
     }
 
-    /// Engines that operators provided: the most that stood before any was ordered away. They
-    /// register one after the other when the fleet starts.
-    fn base(&mut self, service: &Arc<str>, engines: &Engines) -> u32 {
-        let standing = engines.values().map(|counts| counts[0]).sum();
-        let mut places = self.stored.iter().filter(|((known, _), _)| known == service);
-        let lowered = places.any(|(_, stored)| stored.standing.is_some());
-        let base = self.bases.entry(service.clone()).or_insert(standing);
-        if !lowered {
-            *base = (*base).max(standing);
-        }
-        *base
+    /// Whether engines of a service were ordered before.
+    fn has_orders(&self, service: &Arc<str>) -> bool {
+        self.stored.keys().any(|(known, _)| known == service)
+    }
+
+    /// Whether enough time has passed to know the engines that operators provided.
+    fn is_ready(&self, service: &Arc<str>) -> bool {
+        self.has_orders(service) || boot_now().since(self.since) >= LEARNING_TIME
     }
 
     fn kind(
@@ -239,6 +249,7 @@
             ordered,
             age: sent.map_or(Duration::MAX, |sent| now.since(sent.at)),
             refused: sent.is_some_and(|sent| sent.refused),
+            unanswered: sent.is_some_and(|sent| sent.unanswered),
         }
     }
 }
@@ -276,14 +287,20 @@
     }
     let request = (shared.wire.order_engines)(service, &domain, kind, engines);
     let status = call(shared, &confirmed, DutyKind::Autoscaler, request).await;
-    let refused = !status.as_ref().is_ok_and(http::StatusCode::is_success);
-    orders.sent.insert((place, kind), Sent { at: boot_now(), refused });
+    // 409 says that there are none. Other failures say nothing about that.
+    let refused = status == Ok(StatusCode::CONFLICT);
+    let unanswered = !refused && !status.as_ref().is_ok_and(StatusCode::is_success);
+    orders.sent.insert((place, kind), Sent { at: boot_now(), refused, unanswered });
     let label = match kind {
         EngineKind::Standing => "standing",
         EngineKind::Reclaimable => "reclaimable",
     };
     metrics::counter!("agatestair_serve_orders_total", "kind" => label,
-        "outcome" => if refused { "refused" } else { "accepted" })
+    "outcome" => match (refused, unanswered) {
+        (true, _) => "refused",
+        (false, true) => "unanswered",
+        (false, false) => "accepted",
+    })
     .increment(1);
     log_event!(shared.log, ENGINES_ORDERED, "service" => &**service, "domain" => &*domain,
         "kind" => label, "engines" => engines, "former" => former, "serving" => serving,
