Usage: windows close at the acknowledgement; the latest process counts

Cause: review. A request that ended after its instance had sent the last counts of a window was lost if the holder settled the window before it got the new sum. An instance that was stopped and started again within a window counted as complete by the counts of its former process.

Change: an acknowledged window gets no more requests; completeness asks for the latest process. The task of the duties ends where the settings have none.

--- a/crates/policy/src/usage.rs
+++ b/crates/policy/src/usage.rs
@@ -41,29 +41,38 @@
 #[derive(Clone, Debug, Default)]
 pub struct UsageMeter {
     windows: BTreeMap<u64, UsageCounts>,
-    /// First window that may still get requests.
+    /// First window that is not settled.
     first: u64,
+    /// First window that may still get requests.
+    open: u64,
 }
 
 impl UsageMeter {
     /// A meter of a process that started in the given window.
     pub fn new(first: u64) -> Self {
-        Self { windows: BTreeMap::new(), first }
+        Self { windows: BTreeMap::new(), first, open: first }
     }
 
-    /// Counts a request that began to run in a window. One of a settled window is counted in the
+    /// Counts a request that began to run in a window. One of a closed window is counted in the
     /// first window that is not.
     pub fn note(&mut self, window: u64, customer: &Arc<str>) {
-        let counts = self.windows.entry(window.max(self.first)).or_default();
+        let counts = self.windows.entry(window.max(self.open)).or_default();
         *counts.entry(customer.clone()).or_default() += 1;
         while self.windows.len() > MAX_WINDOWS {
             self.windows.pop_first();
         }
     }
 
+    /// Closes the windows up to the given one, since the holder has their last counts. It may settle
+    /// them at any time, so that later requests would be lost.
+    pub fn close(&mut self, window: u64) {
+        self.open = self.open.max(window.saturating_add(1));
+    }
+
     /// Forgets the windows up to the given one, whose report is settled.
     pub fn settle(&mut self, window: u64) {
         self.first = self.first.max(window.saturating_add(1));
+        self.close(window);
         self.windows.retain(|known, _| *known > window);
     }
 
@@ -125,9 +134,11 @@
     /// Whether each of these instances has sent all of its requests in a window.
     pub fn is_complete(&self, window: u64, instances: impl IntoIterator<Item = u64>) -> bool {
         let known = self.windows.get(&window);
+        // The latest process counts: a former one closes the window when it exits.
         let closed = |instance: u64| {
-            let mut processes = known.into_iter().flatten();
-            processes.any(|((other, _), reported)| *other == instance && reported.closed)
+            let processes = known.into_iter().flatten();
+            let own = processes.filter(|((other, _), _)| *other == instance);
+            own.max_by_key(|((_, born), _)| *born).is_some_and(|(_, reported)| reported.closed)
         };
         instances.into_iter().all(closed)
     }
--- a/crates/policy/tests/tenure.rs
+++ b/crates/policy/tests/tenure.rs
@@ -157,7 +157,8 @@
                 store.commit(held.version, Some(row));
                 instance.tenures.lose(at(now));
             }
-            step(instance, index, &mut store, reachable, now, case.lost, &mut draws);
+            let lost = hits(&mut draws, case.lost);
+            step(instance, index, &mut store, reachable, now, lost);
             let current = instance.tenures.current(at(now));
             if let Some(Tenure { fencing, version }) = current.filter(|_| reachable) {
                 if store.commit(version, None) {
@@ -189,8 +190,7 @@
     store: &mut Store,
     reachable: bool,
     now: u64,
-    lost: u32,
-    draws: &mut StdRng,
+    lost: bool,
 ) {
     let tenures = &mut instance.tenures;
     tenures.expire(at(now));
@@ -203,7 +203,7 @@
         }
         TenureStep::Take { row, version } if reachable => {
             let done = store.commit(version, Some(row.clone()));
-            if draws.random_range(0..1000) < lost || !done {
+            if lost || !done {
                 tenures.note_attempted(&row);
                 tenures.note_row(store.row.clone(), store.version, false, at(now));
             } else {
@@ -249,15 +249,14 @@
     let mut store = Store { next: 10, ..Store::default() };
     let mut holder = start(0, 0);
     let mut other = start(1, 0);
-    let mut draws = StdRng::seed_from_u64(1);
     for now in (0..20_000).step_by(STEP_MS as usize) {
-        step(&mut holder, 0, &mut store, now < 5000, now, 0, &mut draws);
+        step(&mut holder, 0, &mut store, now < 5000, now, false);
         if now % 1000 == 0
             && let Some(held) = holder.tenures.announced(at(now))
         {
             other.tenures.note_announced(held.fencing, at(now));
         }
-        step(&mut other, 1, &mut store, true, now, 0, &mut draws);
+        step(&mut other, 1, &mut store, true, now, false);
     }
     expect_that!(other.tenures.current(at(20_000)), some(anything()));
 }
@@ -268,14 +267,13 @@
 fn a_former_token_is_not_used_again() {
     let mut instance = start(0, 0);
     let mut store = Store { next: 10, ..Store::default() };
-    let mut draws = StdRng::seed_from_u64(1);
     for now in (0..4000).step_by(STEP_MS as usize) {
-        step(&mut instance, 0, &mut store, true, now, 0, &mut draws);
+        step(&mut instance, 0, &mut store, true, now, false);
     }
     let former = instance.tenures.held().expect("there is no other instance").fencing;
     instance.tenures.lose(at(4000));
     for now in (4000..12_000).step_by(STEP_MS as usize) {
-        step(&mut instance, 0, &mut store, true, now, 0, &mut draws);
+        step(&mut instance, 0, &mut store, true, now, false);
     }
     expect_that!(instance.tenures.held().map(|held| held.fencing), some(gt(former)));
 }
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -37,7 +37,7 @@
     complete: bool,
 }
 
-const CASES: [Case; 6] = [
+const CASES: [Case; 7] = [
     Case {
         name: "sums grow",
         parts: &[
@@ -74,6 +74,16 @@
         sums: &[("a", 5)],
         complete: true,
     },
+    Case {
+        name: "an instance was stopped and started again",
+        parts: &[
+            part((1, 1), &[("a", 3)], 3, true),
+            part((1, 9), &[("a", 2)], 2, false),
+            part((2, 1), &[], 0, true),
+        ],
+        sums: &[("a", 5)],
+        complete: false,
+    },
     Case {
         name: "the window has not ended",
         parts: &[part((1, 1), &[("a", 3)], 3, false), part((2, 1), &[], 0, true)],
@@ -121,6 +131,19 @@
     expect_that!(meter.first(), eq(6));
 }
 
+// Guards against a request that is counted in a window whose last counts were sent, and is lost when
+// the window is settled.
+#[gtest]
+fn a_closed_window_gets_no_requests() {
+    let customer: Arc<str> = "a".into();
+    let mut meter = UsageMeter::new(5);
+    meter.note(5, &customer);
+    meter.close(5);
+    meter.note(5, &customer);
+    expect_that!([5, 6].map(|window| usage_total(&meter.counts(window))), eq([1, 1]));
+    expect_that!(meter.first(), eq(5));
+}
+
 // Guards against a new holder that lacks sums which the former one had acknowledged.
 #[gtest]
 fn a_new_holder_gets_the_same_sums() {
--- a/crates/serve/src/duty.rs
+++ b/crates/serve/src/duty.rs
@@ -286,6 +286,9 @@
 /// Takes the duties over when their holder is gone, and announces this instance while it holds them.
 pub async fn keep_duties(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
     let leaving = shared.leaving.clone();
+    if shared.hub.ask(|node, _| node.tenures.is_none()) {
+        return;
+    }
     let mut announced: Option<Moment> = None;
     let mut round = 0;
     while !leaving.is_cancelled() {
--- a/crates/serve/src/usage.rs
+++ b/crates/serve/src/usage.rs
@@ -251,6 +251,7 @@
 fn note_ack(usage: &mut Usage, ack: PulseUsageAck) {
     if ack.closed {
         usage.acked.insert(ack.window, (ack.total, ack.fencing));
+        usage.meter.close(ack.window);
     }
 }
 
