--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 mod mix;
 mod moment;
 mod plans;
+mod pressure;
 mod quarantine;
 mod queue;
 mod request;
@@ -43,6 +44,7 @@
 pub use freshness::{Freshness, Proof, StoreClock};
 pub use keys::{AttemptKey, EndpointKey, RequestKey};
 pub use moment::Moment;
+pub use pressure::{Holding, PressureSettings, choose_drops};
 pub use quarantine::{
     CrashReport, ProcessKey, Quarantine, QuarantineChange, QuarantineCheck, ServicePart, Survival,
     Verdict,
