One budget for all memory that callers make an instance hold

Cause: only bodies counted, against 0.3 of the memory. Heads, read buffers of up to 128 KB for each connection, connections and responses that nobody reads did not count; incomplete bodies kept ordinary requests out, and idle connections used up the descriptors.

Change: memory_budget.rs counts bodies, connections with their heads and unwritten bytes, and buffered responses against 0.4 of the memory, and drops what choose_drops names (events 5080 to 5082, gauge held_bytes). A read takes at most 16 KB, so that read buffers stay small. An announced length over the limit is refused with 413 before the body is read; the rest is read and dropped within 2 s and 16 MiB. At the limit of connections the longest idle one is closed. A response keeps its share of the memory for responses until it is written.

--- a/crates/serve/src/activity.rs
+++ b/crates/serve/src/activity.rs
@@ -12,9 +12,22 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 
+use crate::body::QUEUED_CHUNKS;
+use crate::buffer_limit::BufferGuard;
 use crate::configuration::Limits;
+use crate::memory_budget::{HandedBuffer, MayDrop, MemoryHold};
+use crate::read_limit::{MAX_READ_BYTES, poll_read_some};
 use crate::shared::Shared;
 
+/// Memory of a connection without a request: its task, and the smallest read buffer.
+const IDLE_BYTES: usize = 12 * 1024;
+
+/// Bytes of a response that a connection takes before it waits for the caller to read.
+const HELD_RESPONSE_BYTES: usize = 64 * 1024;
+
+/// Bytes that are queued for a caller that does not read, if each chunk is a whole read.
+const QUEUE_BYTES: usize = QUEUED_CHUNKS * MAX_READ_BYTES;
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
@@ -44,14 +57,55 @@
     state: Cell<State>,
     /// Identifier of the last request with a response.
     request: RefCell<Option<Rc<str>>>,
+    /// Memory of the connection.
+    hold: MemoryHold,
+    /// Bytes of the head that is being received.
+    head: Cell<usize>,
+    /// Bytes of the response that are not written to the socket yet.
+    unwritten: Cell<usize>,
+    /// Their share of the memory for responses.
+    buffers: RefCell<Vec<HandedBuffer>>,
 }
 
 impl Activity {
     /// Activity of a connection that was just accepted under these limits.
-    pub fn new(limits: &Limits) -> Self {
+    pub fn new(limits: &Limits, hold: MemoryHold) -> Self {
         let (since, known) = (Instant::now(), time_limit(limits));
         let state = Cell::new(State { phase: Phase::Idle, since, known });
-        Self(Rc::new(Inner { state, request: RefCell::default() }))
+        let activity = Self(Rc::new(Inner {
+            state,
+            request: RefCell::default(),
+            hold,
+            head: Cell::new(0),
+            unwritten: Cell::new(0),
+            buffers: RefCell::default(),
+        }));
+        activity.count();
+        activity
+    }
+
+    /// Waits until the connection is dropped, since memory or connections are short.
+    pub async fn dropped(&self) {
+        self.0.hold.dropped().await;
+    }
+
+    /// Counts the memory of the connection.
+    fn count(&self) {
+        let Inner { state, hold, head, unwritten, .. } = &*self.0;
+        let phase = state.get().phase;
+        let queue = if unwritten.get() > HELD_RESPONSE_BYTES { QUEUE_BYTES } else { 0 };
+        let buffer = match phase {
+            Phase::Idle => IDLE_BYTES,
+            // The buffer is copied to one of twice the size while it grows.
+            Phase::Head => IDLE_BYTES + 2 * head.get(),
+            Phase::Busy => IDLE_BYTES + MAX_READ_BYTES,
+        };
+        hold.set_may_drop(match phase {
+            _ if unwritten.get() > 0 => MayDrop::Unread,
+            Phase::Busy => MayDrop::Never,
+            Phase::Head | Phase::Idle => MayDrop::Always,
+        });
+        hold.set(buffer + unwritten.get() + queue);
     }
 
     /// What the connection is doing, and for how long.
@@ -98,15 +152,36 @@
 
     fn enter(&self, phase: Phase) {
         self.0.state.set(State { phase, since: Instant::now(), ..self.0.state.get() });
+        if phase != Phase::Head {
+            self.0.head.set(0);
+        }
+        self.0.hold.restart();
+        self.count();
     }
 
-    fn note_read(&self) {
+    fn note_read(&self, bytes: usize) {
+        if self.0.state.get().phase == Phase::Busy {
+            return;
+        }
+        self.0.head.set(self.0.head.get() + bytes);
         if self.0.state.get().phase == Phase::Idle {
             self.enter(Phase::Head);
+        } else {
+            self.0.hold.note_progress();
+            self.count();
         }
     }
 
-    fn note_written(&self) {
+    fn note_written(&self, bytes: usize) {
+        let unwritten = self.0.unwritten.get();
+        if unwritten > 0 {
+            self.0.unwritten.set(unwritten.saturating_sub(bytes));
+            if unwritten <= bytes {
+                self.0.buffers.borrow_mut().clear();
+            }
+            self.0.hold.restart();
+            self.count();
+        }
         if self.0.state.get().phase == Phase::Idle {
             self.restart();
         }
@@ -132,8 +207,25 @@
 
     /// Records the request that has a response.
     pub fn note_request(&self, id: Option<Rc<str>>) {
+        self.0.0.hold.set_request(id.clone());
         *self.0.0.request.borrow_mut() = id;
     }
+
+    /// Keeps the buffer of a response until it is written.
+    pub fn keep_buffer(&self, buffer: BufferGuard) {
+        let buffer = self.0.0.hold.hand(buffer);
+        self.0.0.buffers.borrow_mut().push(buffer);
+    }
+
+    /// Counts bytes of the response that are about to be written.
+    pub fn note_taken(&self, bytes: usize) {
+        let unwritten = &self.0.0.unwritten;
+        if unwritten.get() == 0 {
+            self.0.0.hold.restart();
+        }
+        unwritten.set(unwritten.get() + bytes);
+        self.0.count();
+    }
 }
 
 impl Drop for BusyGuard {
@@ -167,10 +259,9 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        if buffer.filled().len() > before {
-            self.activity.note_read();
+        let read = ready!(poll_read_some(&mut self.stream, cx, buffer))?;
+        if read > 0 {
+            self.activity.note_read(read);
         }
         Poll::Ready(Ok(()))
     }
@@ -183,7 +274,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))?;
-        self.activity.note_written();
+        self.activity.note_written(written);
         Poll::Ready(Ok(written))
     }
 
@@ -193,7 +284,7 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, slices))?;
-        self.activity.note_written();
+        self.activity.note_written(written);
         Poll::Ready(Ok(written))
     }
 
--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -12,6 +12,7 @@
 
 use crate::activity::BusyGuard;
 use crate::buffer_limit::BufferGuard;
+use crate::memory_budget::MemoryHold;
 use crate::open_requests::RequestGuard;
 
 /// Chunks that are queued for a caller that reads slowly; a full queue stops reading from the
@@ -47,6 +48,8 @@
     request: Option<RequestGuard>,
     /// Its connection, which is busy until then.
     connection: Option<BusyGuard>,
+    /// The request's body, which may be sent again until the response is complete.
+    memory: Option<MemoryHold>,
 }
 
 #[derive(Debug)]
@@ -56,7 +59,7 @@
         /// Bytes of the body.
         body: Full<Bytes>,
         /// Their share of the memory for responses.
-        _buffer: Option<BufferGuard>,
+        buffer: Option<BufferGuard>,
     },
     /// Chunks as they arrive; the body is truncated unless [`Chunk::End`] comes last.
     Chunks(mpsc::Receiver<Chunk>),
@@ -65,12 +68,12 @@
 impl ResponseBody {
     /// Creates a body from bytes in memory.
     pub fn whole(bytes: Bytes) -> Self {
-        Self::new(Content::Whole { body: Full::new(bytes), _buffer: None })
+        Self::new(Content::Whole { body: Full::new(bytes), buffer: None })
     }
 
     /// Creates a body from an endpoint's buffered response, which counts towards the memory limit.
     pub fn buffered(bytes: Bytes, buffer: BufferGuard) -> Self {
-        Self::new(Content::Whole { body: Full::new(bytes), _buffer: Some(buffer) })
+        Self::new(Content::Whole { body: Full::new(bytes), buffer: Some(buffer) })
     }
 
     /// Creates a body from chunks as they arrive.
@@ -79,7 +82,7 @@
     }
 
     fn new(content: Content) -> Self {
-        Self { content, request: None, connection: None }
+        Self { content, request: None, connection: None, memory: None }
     }
 
     /// Keeps the request open as long as the body.
@@ -87,6 +90,13 @@
         self.request = Some(request);
     }
 
+    /// Counts the request's body as long as the response is relayed.
+    pub fn hold_memory(&mut self, memory: MemoryHold) {
+        if matches!(self.content, Content::Chunks(_)) {
+            self.memory = Some(memory);
+        }
+    }
+
     /// Keeps the caller's connection busy as long as the body.
     pub fn hold_connection(&mut self, connection: BusyGuard) {
         connection.note_request(self.request.as_ref().and_then(RequestGuard::id));
@@ -102,17 +112,26 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedBody>>> {
-        match &mut self.get_mut().content {
+        let body = self.get_mut();
+        let frame = match &mut body.content {
             Content::Whole { body, .. } => {
                 let frame = ready!(Pin::new(body).poll_frame(cx));
-                Poll::Ready(frame.map(|frame| frame.map_err(|never: Infallible| match never {})))
+                frame.map(|frame| frame.map_err(|never: Infallible| match never {}))
             }
-            Content::Chunks(chunks) => Poll::Ready(match ready!(chunks.poll_recv(cx)) {
+            Content::Chunks(chunks) => match ready!(chunks.poll_recv(cx)) {
                 Some(Chunk::Data(bytes)) => Some(Ok(Frame::data(bytes))),
                 Some(Chunk::End) => None,
                 None => Some(Err(TruncatedBody)),
-            }),
+            },
+        };
+        let data = frame.as_ref().and_then(|frame| frame.as_ref().ok()?.data_ref());
+        if let (Some(connection), Some(data)) = (&body.connection, data) {
+            connection.note_taken(data.len());
+            if let Content::Whole { buffer, .. } = &mut body.content {
+                buffer.take().into_iter().for_each(|buffer| connection.keep_buffer(buffer));
+            }
         }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/serve/src/buffer_limit.rs
+++ b/crates/serve/src/buffer_limit.rs
@@ -3,12 +3,11 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use tokio::sync::Notify;
+
 /// Fraction of the instance's memory for buffered response data.
 const RESPONSE_SHARE: f64 = 0.25;
 
-/// Fraction of the instance's memory for the bodies of requests, complete or not.
-const REQUEST_SHARE: f64 = 0.3;
-
 /// Largest step in bytes by which a buffer grows, so that the memory that it reserves ahead stays
 /// small.
 const MAX_GROWTH_BYTES: usize = 1024 * 1024;
@@ -27,6 +26,8 @@
     max_bytes: usize,
     /// Bytes of each buffer that do not count.
     uncounted: usize,
+    /// Signals that more bytes count.
+    grown: Rc<Notify>,
 }
 
 impl BufferLimit {
@@ -35,13 +36,18 @@
         Self::of(memory_mb * RESPONSE_SHARE, UNCOUNTED_BYTES)
     }
 
-    /// Creates the limit on request bodies of an instance with this much memory, in megabytes.
-    pub fn for_requests(memory_mb: f64) -> Self {
-        Self::of(memory_mb * REQUEST_SHARE, 0)
+    fn of(max_mb: f64, uncounted: usize) -> Self {
+        Self {
+            bytes: Rc::default(),
+            max_bytes: (max_mb * MEGABYTE) as usize,
+            uncounted,
+            grown: Rc::default(),
+        }
     }
 
-    fn of(max_mb: f64, uncounted: usize) -> Self {
-        Self { bytes: Rc::default(), max_bytes: (max_mb * MEGABYTE) as usize, uncounted }
+    /// Waits until more bytes count.
+    pub(crate) async fn grown(&self) {
+        self.grown.notified().await;
     }
 
     /// Bytes that currently count towards the limit.
@@ -63,6 +69,11 @@
         Self { total: total.clone(), counted: 0 }
     }
 
+    /// Bytes that count towards the limit.
+    pub(crate) fn counted(&self) -> usize {
+        self.counted
+    }
+
     /// Appends data to the buffered bytes, whose capacity counts; returns `false` and changes nothing if
     /// the limit would be exceeded.
     pub fn append(&mut self, bytes: &mut Vec<u8>, data: &[u8]) -> bool {
@@ -86,6 +97,9 @@
         let others = self.total.bytes.get() - self.counted;
         let fits = counted <= self.counted || others + counted <= self.total.max_bytes;
         if fits {
+            if counted > self.counted {
+                self.total.grown.notify_one();
+            }
             self.total.bytes.set(others + counted);
             self.counted = counted;
         }
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -87,6 +87,15 @@
 /// A number of engines was ordered.
 pub const ENGINES_ORDERED: Event =
     Event { number: 5077, level: Level::Info, text: "engines ordered" };
+/// The memory that callers may hold is used up; callers are dropped.
+pub const MEMORY_SHORT: Event =
+    Event { number: 5080, level: Level::Warning, text: "memory for callers is short" };
+/// Enough of the memory that callers may hold is free again.
+pub const MEMORY_FREE: Event =
+    Event { number: 5081, level: Level::Info, text: "memory for callers is free again" };
+/// What a caller holds was dropped, since memory or connections were short.
+pub const CALLER_DROPPED: Event =
+    Event { number: 5082, level: Level::Info, text: "caller dropped" };
 /// A stream continues at another endpoint.
 pub const RESUMED: Event = Event { number: 5023, level: Level::Info, text: "stream resumed" };
 /// A caller disconnected before the response was ready.
@@ -290,4 +299,7 @@
     DUTY_FAILED,
     USAGE_SETTLED,
     ENGINES_ORDERED,
+    MEMORY_SHORT,
+    MEMORY_FREE,
+    CALLER_DROPPED,
 ];
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -20,11 +20,12 @@
 use crate::dispatches::Dispatches;
 use crate::events::{ABANDONED, ANSWERED, ATTEMPT_FAILED, REQUEST_FAILED};
 use crate::generate::generate;
+use crate::memory_budget::MemoryKind;
 use crate::open_requests::OpenRequest;
 use crate::panics::catch_panic;
 use crate::plain::relay_plain;
 use crate::proof::boot_now;
-use crate::request_body::{drain_body, read_body};
+use crate::request_body::{BodyLimits, drain_body, read_body};
 use crate::response::{DEFAULT_RETRY_AFTER, Failure, strip_hop_by_hop};
 use crate::run_meter::RunMeter;
 use crate::send::ForwardedRequest;
@@ -149,8 +150,15 @@
             return Err(refusal);
         }
     };
-    let body = read_body(&shared.request_limit, body, limits.body_bytes, body_end).await;
-    let (body, _body_guard) = body.map_err(|failure| (Some(route.clone()), failure))?;
+    let id: Option<Rc<str>> = facts.id.as_deref().map(Rc::from);
+    let hold = shared.memory.hold(MemoryKind::Body, id.clone());
+    let body_limits = BodyLimits {
+        bytes: limits.body_bytes,
+        deadline: body_end,
+        expects: head.headers.contains_key(EXPECT),
+    };
+    let body = read_body(&hold, body, body_limits).await;
+    let body = body.map_err(|failure| (Some(route.clone()), failure))?;
     if head_bytes(&head) > limits.longest_head() {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         return Err((Some(route), Failure::BadRequest(status, "head too large")));
@@ -166,7 +174,6 @@
         return Err((Some(route), Failure::BadRequest(StatusCode::BAD_REQUEST, "malformed path")));
     };
     let timeout = facts.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
-    let id = facts.id.as_deref().map(Rc::from);
     let metered = customer.clone();
     let call = Call {
         shared: shared.clone(),
@@ -194,7 +201,10 @@
     let (service, matched) = (call.service.name.clone(), route.clone());
     shared.hub.ask(move |node, now| node.note_first(&service, now));
     let generates = call.service.engine.is_some() || call.route.kind.is_stream();
-    let response = if generates { generate(call).await } else { relay_plain(call).await };
+    let mut response = if generates { generate(call).await } else { relay_plain(call).await };
+    if let Ok(response) = &mut response {
+        response.body_mut().hold_memory(hold);
+    }
     response.map(|response| (matched, response)).map_err(|failure| (Some(route), failure))
 }
 
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -37,6 +37,7 @@
 mod hub;
 mod listen;
 mod members;
+mod memory_budget;
 mod news;
 mod node;
 mod open_requests;
--- a/crates/serve/src/read_limit.rs
+++ b/crates/serve/src/read_limit.rs
@@ -9,6 +9,24 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Most bytes of one read. A connection's buffer grows to twice its size whenever a read fills it,
+/// up to the largest head; one byte less than a power of two keeps it at that power.
+pub const MAX_READ_BYTES: usize = 16 * 1024 - 1;
+
+/// Reads at most [`MAX_READ_BYTES`] and returns their number.
+pub fn poll_read_some(
+    stream: &mut TcpStream,
+    cx: &mut Context<'_>,
+    buffer: &mut ReadBuf<'_>,
+) -> Poll<io::Result<usize>> {
+    let length = buffer.remaining().min(MAX_READ_BYTES);
+    let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
+    ready!(Pin::new(stream).poll_read(cx, &mut part))?;
+    let read = part.filled().len();
+    buffer.advance(read);
+    Poll::Ready(Ok(read))
+}
+
 /// Number of bytes that may still be read; shared by a stream and the code that sets the limit.
 #[derive(Clone, Debug)]
 pub struct ReadLimit(Rc<Cell<usize>>);
@@ -56,10 +74,9 @@
             let error = io::Error::new(io::ErrorKind::InvalidData, "head of an answer without end");
             return Poll::Ready(Err(error));
         }
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        let read = ready!(poll_read_some(&mut self.stream, cx, buffer))?;
         if left != usize::MAX {
-            self.limit.set(left.saturating_sub(buffer.filled().len() - before));
+            self.limit.set(left.saturating_sub(read));
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/serve/src/response.rs
+++ b/crates/serve/src/response.rs
@@ -101,6 +101,9 @@
         if matches!(self, Self::Unauthorized(_)) {
             headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
         }
+        if self.status() == StatusCode::PAYLOAD_TOO_LARGE {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
         if let Self::NotRun { retry_after, .. } = self {
             let seconds = format!("{:.3}", retry_after.as_secs_f64());
             let value = HeaderValue::from_str(&seconds)
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -34,6 +34,7 @@
 use crate::hub::Hub;
 use crate::listen::listen;
 use crate::members::Member;
+use crate::memory_budget::MemoryBudget;
 use crate::node::NodeSettings;
 use crate::open_requests::OpenRequests;
 use crate::outbox::{LoadChanges, Outbox};
@@ -177,13 +178,14 @@
     let Signals { mut stop, mut interrupt, hangup } = signals;
     let own = own_member(&settings)?;
     let listen_on = settings.listen.clone();
+    let buffer_limit = BufferLimit::new(settings.machine.memory_mb);
     let shared = Rc::new(Shared {
         hub: Hub::new(node_settings(&settings, own.clone())),
         wire,
         store: store(),
         pool: Pool::default(),
-        buffer_limit: BufferLimit::new(settings.machine.memory_mb),
-        request_limit: BufferLimit::for_requests(settings.machine.memory_mb),
+        memory: MemoryBudget::new(settings.machine.memory_mb, buffer_limit.clone(), log.clone()),
+        buffer_limit,
         settings: RefCell::new(Rc::new(settings)),
         metrics,
         log,
@@ -251,6 +253,7 @@
     supervise(&shared, "capacity", keep_capacity);
     supervise(&shared, "caches", query_caches);
     supervise(&shared, "sweep", sweep);
+    supervise(&shared, "memory", |shared| shared.memory.clone().watch());
     spawn(watch_settings(shared.clone(), reload, hangup));
     spawn(write_log(buffer.clone()));
     log_event!(shared.log, STARTED, "callers" => own.callers.to_string(), "born" => own.born);
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -32,6 +32,7 @@
 };
 use crate::hub::Hub;
 use crate::listen::configure_peer;
+use crate::memory_budget::{MemoryBudget, MemoryKind};
 use crate::open_requests::OpenRequests;
 use crate::outbox::{LoadChanges, Outbox};
 use crate::pool::Pool;
@@ -101,8 +102,8 @@
     pub row_unsure: Cell<bool>,
     /// Number of open callers' connections.
     pub connections: Cell<usize>,
-    /// Memory used by the bodies of requests.
-    pub request_limit: BufferLimit,
+    /// All memory that callers make the instance hold.
+    pub memory: MemoryBudget,
     /// Memory used by buffered responses.
     pub buffer_limit: BufferLimit,
 }
@@ -285,7 +286,9 @@
     loop {
         let max_connections = (shared.settings().machine.max_files * CALLER_SHARE) as usize;
         match listener.accept().await {
-            Ok((stream, _)) if shared.connections.get() < max_connections => {
+            Ok((stream, _))
+                if shared.connections.get() < max_connections || shared.memory.drop_idle() =>
+            {
                 tokio::task::spawn_local(serve(shared.clone(), stream, kind));
             }
             // Closing the connection at once makes the caller try another instance.
@@ -307,7 +310,8 @@
         return;
     }
     let limits = shared.hub.ask(|node, _| node.limits());
-    let activity = Activity::new(&limits);
+    let hold = shared.memory.hold(MemoryKind::Connection, None);
+    let activity = Activity::new(&limits, hold);
     let handler = shared.clone();
     let version = Rc::new(Cell::new(Version::HTTP_11));
     let (latest, busy) = (version.clone(), activity.clone());
@@ -327,6 +331,7 @@
             biased;
             ended = &mut connection => break ended,
             () = shared.closing.cancelled(), if !closing => {}
+            () = activity.dropped() => return,
             () = activity.expired(&shared) => {
                 let (phase, time) = activity.current();
                 if closing || phase == Phase::Head {
