policy: when a late request may get a second attempt

Cause: a request at a slow endpoint waits for it although another endpoint of the service is free. Change: Hedges keeps times to the response head by service and size class, and a share of requests in a sliding window; HedgeLimits checks an endpoint. RetryBudget::spend_part takes from the first part of the budget only.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 mod durations;
 mod fleet;
 mod freshness;
+mod hedge;
 mod keys;
 mod mix;
 mod moment;
@@ -42,6 +43,7 @@
 };
 pub use durations::Durations;
 pub use freshness::{Freshness, Proof, StoreClock};
+pub use hedge::{HedgeCandidate, HedgeDenial, HedgeLimits, Hedges};
 pub use keys::{AttemptKey, EndpointKey, RequestKey};
 pub use moment::Moment;
 pub use pressure::{Holding, PressureSettings, choose_drops};
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -49,10 +49,15 @@
 
     /// Spends one retry; spends nothing and returns `false` if none is left.
     pub fn spend(&mut self, settings: &RetrySettings, now: Moment) -> bool {
+        self.spend_part(1.0, settings, now)
+    }
+
+    /// Like [`RetryBudget::spend`], from the first part of the budget only: the rest of it is kept.
+    pub fn spend_part(&mut self, part: f64, settings: &RetrySettings, now: Moment) -> bool {
         self.slot(settings, now);
         let firsts: f64 = self.slots.iter().map(|slot| slot.firsts).sum();
         let repeats: f64 = self.slots.iter().map(|slot| slot.repeats).sum();
-        if repeats + 1.0 > settings.slack + settings.ratio * firsts {
+        if repeats + 1.0 > part * (settings.slack + settings.ratio * firsts) {
             return false;
         }
         self.slot(settings, now).repeats += 1.0;
