serve: second attempts against slow endpoints

Cause: an idempotent request, or a resumable stream before its response head, waits for a slow endpoint until it fails or is silent. The attempt that loses is dropped and is no failure of its endpoint. Settings are applied at a reload. A pace counts as slow relative to the median of the service's endpoints, at least 1: an endpoint without recent responses has the pace 1, and was refused as slow when the other one had less.

--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -75,7 +75,7 @@
     pub busy: u32,
     /// Number of attempts that it runs at a time.
     pub slots: u32,
-    /// Time that work takes there relative to the usual time.
+    /// Time that work takes there relative to the median of the service's endpoints.
     pub pace: f64,
 }
 
--- a/crates/serve/src/awaited.rs
+++ b/crates/serve/src/awaited.rs
@@ -94,6 +94,8 @@
     /// All attempts are silent, the latest one since now or for a while; the request may be tried
     /// elsewhere.
     Silent,
+    /// The only attempt is late, so that a second one may begin.
+    Late,
     /// The latest attempt was given up, since another endpoint may work on the same stream.
     Withdrawn,
     /// The request's deadline has passed.
@@ -127,6 +129,11 @@
         self.attempts.iter().any(|attempt| !attempt.silent)
     }
 
+    /// The latest attempt.
+    pub fn latest(&self) -> Option<&Attempt<T>> {
+        self.attempts.last()
+    }
+
     /// Waits for the next outcome, or until the latest attempt is silent although the request may run
     /// elsewhere.
     pub async fn next(&mut self, call: &mut Call) -> News<T> {
@@ -174,6 +181,7 @@
                 }
             }
         };
+        let late = call.hedge_due().filter(|_| !others && self.is_promising());
         let attempts = &mut self.attempts;
         let outcome = poll_fn(|context| {
             for (index, attempt) in attempts.iter_mut().enumerate() {
@@ -199,6 +207,7 @@
                 return News::Withdrawn;
             }
             cause = silent => cause,
+            () = sleep_until_some(late) => return News::Late,
         };
         if let (Some(cause), Some(latest)) = (silence, self.attempts.last_mut()) {
             latest.silent = true;
@@ -212,7 +221,10 @@
         for attempt in self.attempts.extract_if(.., |attempt| attempt.silent) {
             call.note_failed(&attempt.guard, FailureKind::Broken, cause);
         }
-        self.attempts.drain(..).for_each(|attempt| log_dropped(&attempt));
+        for attempt in self.attempts.drain(..) {
+            call.note_head(attempt.guard.elapsed());
+            log_dropped(&attempt);
+        }
     }
 
     /// Gives up the attempts that are left after the request's deadline.
@@ -257,6 +269,14 @@
     call.note_sent(attempt.sending.key, sent);
 }
 
+/// Waits until a moment, forever if there is none.
+pub async fn sleep_until_some(moment: Option<Instant>) {
+    match moment {
+        Some(moment) => sleep_until(moment).await,
+        None => pending().await,
+    }
+}
+
 /// Time within which the response head of an attempt must arrive if another attempt may follow.
 fn response_limit(call: &Call, guard: &AttemptGuard) -> Duration {
     let usual = guard.placement.expected.mul_f64(TIMEOUT_FACTOR).max(call.route.objective);
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -21,6 +21,7 @@
     ATTEMPT_FAILED, ATTEMPT_WITHHELD, ENDPOINT_EJECTED, ENDPOINT_SILENT, NOT_PLACED, PART_TRIED,
     PLACED,
 };
+use crate::hedge::Hedge;
 use crate::node::{Backup, BegunKey, Placement, Search};
 use crate::proof::boot_now;
 use crate::response::{
@@ -96,6 +97,8 @@
     pub trial: bool,
     /// Counts the request for the usage reports.
     pub meter: RunMeter,
+    /// Its second attempt, if the settings allow any.
+    pub hedge: Option<Hedge>,
 }
 
 /// A request on its way to an endpoint; dropping it closes the connection.
@@ -223,7 +226,7 @@
     /// Denies an attempt if the caller's key was withdrawn since the request was accepted.
     ///
     /// The configuration may have gained or lost all customers since then.
-    fn check_key(&mut self, search: Search) -> Result<(), Denial> {
+    pub fn check_key(&mut self, search: Search) -> Result<(), Denial> {
         let (route, credential) = (self.route.clone(), self.credential);
         let access =
             self.shared.hub.ask(move |node, _| node.access(&route, credential, boot_now()));
@@ -303,7 +306,8 @@
             "left_ms" => self.remaining().as_millis() as u64, "sends" => self.sends);
     }
 
-    fn log_placement(&self, search: Search, placement: &Placement) {
+    /// Logs where an attempt is sent.
+    pub fn log_placement(&self, search: Search, placement: &Placement) {
         log_event!(self.shared.log, PLACED, "request" => self.forwarded.id.as_deref(),
             "endpoint" => &*placement.name, "search" => search.label(),
             "reads" => placement.prefill_only, "busy" => placement.busy,
@@ -356,7 +360,11 @@
         };
         let (kind, attempts) = (self.route.kind, self.route.attempts);
         let may_repeat = kind.may_repeat();
-        let grounds = self.dispatches.grounds(work, kind, attempts);
+        let grounds = if guard.placement.hedge {
+            self.dispatches.hedge_grounds(kind, attempts)
+        } else {
+            self.dispatches.grounds(work, kind, attempts)
+        };
         let may_reuse = !self.dispatches.has_reached(guard.placement.key);
         let key = self.dispatches.begin(work, guard.placement.key);
         let written = Written::default();
@@ -434,6 +442,7 @@
     /// Records an attempt that was not sent although it was placed, and excludes its endpoint from
     /// further attempts.
     pub fn note_withheld(&mut self, guard: &AttemptGuard, cause: &str) {
+        self.note_hedge_failed(guard);
         self.tried.push(guard.placement.key);
         self.not_sent += 1;
         log_event!(self.shared.log, ATTEMPT_WITHHELD, "request" => self.forwarded.id.as_deref(),
@@ -471,6 +480,7 @@
 
     /// Records a failed attempt and excludes its endpoint from further attempts.
     pub fn note_failed(&mut self, guard: &AttemptGuard, kind: FailureKind, cause: &str) {
+        self.note_hedge_failed(guard);
         self.tried.push(guard.placement.key);
         metrics::counter!("agatestair_serve_attempts_failed_total").increment(1);
         log_event!(self.shared.log, ATTEMPT_FAILED, "request" => self.forwarded.id.as_deref(),
--- a/crates/serve/src/dispatches.rs
+++ b/crates/serve/src/dispatches.rs
@@ -71,6 +71,8 @@
     NotRun,
     /// It may run more than once.
     Repeatable,
+    /// It may run more than once, and another attempt of it is late.
+    Hedged,
     /// An engine continues the run that has ended at another one.
     SameRun,
     /// It is no run.
@@ -84,6 +86,7 @@
             Self::First => "first",
             Self::NotRun => "not run before",
             Self::Repeatable => "may run again",
+            Self::Hedged => "hedged",
             Self::SameRun => "the same run",
             Self::NoRun => "no run",
         }
@@ -133,6 +136,12 @@
         }
     }
 
+    /// Why the request may be sent to another endpoint while an attempt of it is awaited; `None` if it
+    /// must not.
+    pub fn hedge_grounds(&self, kind: RouteKind, attempts: u32) -> Option<Grounds> {
+        self.may_repeat(kind, attempts).then_some(Grounds::Hedged)
+    }
+
     /// Whether an endpoint may have got the request before. A late answer to that dispatch names the
     /// request, too, and may come on a connection that is kept.
     pub fn has_reached(&self, endpoint: EndpointKey) -> bool {
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -96,6 +96,12 @@
 /// What a caller holds was dropped, since memory or connections were short.
 pub const CALLER_DROPPED: Event =
     Event { number: 5082, level: Level::Info, text: "caller dropped" };
+/// A second attempt of a slow request begins.
+pub const HEDGE_BEGUN: Event =
+    Event { number: 5085, level: Level::Info, text: "second attempt begun" };
+/// The second attempt of a request is over.
+pub const HEDGE_ENDED: Event =
+    Event { number: 5086, level: Level::Info, text: "second attempt over" };
 /// A stream continues at another endpoint.
 pub const RESUMED: Event = Event { number: 5023, level: Level::Info, text: "stream resumed" };
 /// A caller disconnected before the response was ready.
@@ -302,4 +308,6 @@
     MEMORY_SHORT,
     MEMORY_FREE,
     CALLER_DROPPED,
+    HEDGE_BEGUN,
+    HEDGE_ENDED,
 ];
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -139,7 +139,9 @@
         match step {
             Step::Again | Step::Wait => {}
             Step::Respond(answer) => {
+                let (guard, _) = &*answer;
                 progress.awaited.give_up(&mut call, "another endpoint has answered");
+                call.end_hedge(guard);
                 let (guard, response) = *answer;
                 return start_stream(call, guard, response).await;
             }
@@ -182,12 +184,26 @@
             None => Phase::Whole,
         };
         let sending = call.begin_send(&guard, Work::Run, phase, None);
+        // A second attempt would prefill the prompt again.
+        if handle.is_none() {
+            call.plan_hedge();
+        }
         let attempt = Attempt::new(call, search, guard, sending, handle);
         progress.awaited.extend(Some(attempt));
         return Ok(());
     }
 }
 
+/// Begins a second attempt beside a late one, if it is allowed.
+fn hedge(call: &mut Call, progress: &mut Progress) {
+    let search = Search::Run { split: false };
+    let Some(first) = progress.awaited.latest() else { return };
+    let Some(guard) = call.place_hedge(search, &first.guard) else { return };
+    let sending = call.begin_send(&guard, Work::Run, Phase::Whole, None);
+    let attempt = Attempt::new(call, search, guard, sending, None);
+    progress.awaited.extend(Some(attempt));
+}
+
 /// Decides what follows the outcome of an attempt, or its silence.
 async fn note_news(
     call: &mut Call,
@@ -203,6 +219,10 @@
             }
             return Step::Wait;
         }
+        News::Late => {
+            hedge(call, progress);
+            return Step::Wait;
+        }
         // Only attempts to continue a stream are withdrawn.
         News::Withdrawn => return Step::Wait,
         News::TimedOut => {
@@ -212,6 +232,7 @@
         }
         News::Sent(attempt, sent) => (attempt, sent),
     };
+    call.cancel_hedge();
     let backup = attempt.backup();
     let Attempt { guard, held: mut handle, .. } = *attempt;
     // A refusing engine may have failed to fetch the prompt; the handle is spent then.
@@ -232,6 +253,9 @@
                 return Step::Wait;
             }
             if !response.status.is_server_error() || !call.route.kind.may_repeat() {
+                if handle.is_none() {
+                    call.note_head(guard.elapsed());
+                }
                 return Step::Respond(Box::new((guard, *response)));
             }
             call.note_failed(&guard, FailureKind::Failed, "the endpoint failed");
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -197,6 +197,7 @@
         crashes: 0,
         trial: false,
         meter: RunMeter::new(shared.clone(), metered),
+        hedge: None,
     };
     let (service, matched) = (call.service.name.clone(), route.clone());
     shared.hub.ask(move |node, now| node.note_first(&service, now));
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -34,6 +34,7 @@
 mod framing;
 mod generate;
 mod handle;
+mod hedge;
 mod hub;
 mod listen;
 mod members;
--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod engines;
 mod gossip;
+mod hedging;
 mod limits;
 mod stopping;
 
@@ -26,8 +27,8 @@
     PlacementRequest, PromptPart, Stage,
 };
 use agatestair_policy::{
-    Durations, EndpointKey, Freshness, Moment, ProcessKey, Quarantine, RetryBudget, RetrySettings,
-    Tenures,
+    Durations, EndpointKey, Freshness, HedgeLimits, Hedges, Moment, ProcessKey, Quarantine,
+    RetryBudget, RetrySettings, Tenures,
 };
 use slotmap::SlotMap;
 use stakker::CX;
@@ -122,6 +123,8 @@
     pub probe: bool,
     /// This instance's share of the endpoint's rate limit, if the endpoint names one.
     pub share: Option<f64>,
+    /// Whether this is a second attempt beside a late one.
+    pub hedge: bool,
 }
 
 /// An engine that receives a copy of a run's KV cache.
@@ -213,6 +216,9 @@
     endpoints: Cursor,
     budgets: HashMap<Arc<str>, RetryBudget>,
     sharing: Sharing,
+    /// Bounds on second attempts, if the settings allow any.
+    hedge: Option<HedgeLimits>,
+    hedges: Hedges,
     /// When this instance starts, or last started, to report what holds for long.
     standing_from: Moment,
     sent_parts: VecDeque<SentPart>,
@@ -263,6 +269,8 @@
             endpoints: Cursor::default(),
             budgets: HashMap::new(),
             sharing: Sharing::default(),
+            hedge: None,
+            hedges: Hedges::default(),
             standing_from: Moment(0),
             sent_parts: VecDeque::new(),
             stop: None,
@@ -431,12 +439,26 @@
         search: Search,
         connections: impl Into<Option<u32>>,
         now: Moment,
+    ) -> Result<Placement, Denial> {
+        self.place_beside(request, search, connections.into(), &[], now)
+    }
+
+    /// Like [`Node::place`], but not at the `excluded` endpoints. Unlike those that were tried, they
+    /// are not replaced by others in this instance's part of the connections.
+    fn place_beside(
+        &mut self,
+        request: &PlacementRequest,
+        search: Search,
+        connections: Option<u32>,
+        excluded: &[EndpointKey],
+        now: Moment,
     ) -> Result<Placement, Denial> {
         let mut request = request.clone();
         request.domain = self.settings.own.domain.clone();
         request.unseen = self.unseen();
         let share = self.earn_limits(&request.service, now);
-        self.share_connections(&mut request, connections.into(), now);
+        self.share_connections(&mut request, connections, now);
+        request.tried.extend(excluded);
         if let (Search::Copy(at), Some(subset)) = (search, &mut request.subset) {
             // The engine was in the subset when it received the copy.
             subset.insert(at);
@@ -560,6 +582,7 @@
             busy: endpoint.load(now).attempts,
             probe,
             share: share.filter(|_| endpoint.limit.rate().is_some()),
+            hedge: false,
         };
         self.board.start(choice.key, choice.load);
         placement
--- a/crates/serve/src/node/budgets.rs
+++ b/crates/serve/src/node/budgets.rs
@@ -94,6 +94,9 @@
     pub fn note_first(&mut self, service: &Arc<str>, now: Moment) {
         let settings = self.retry(now);
         self.sharing.note_request(service, now);
+        if self.hedge.is_some() {
+            self.hedges.note_request(service, now);
+        }
         self.budgets.entry(service.clone()).or_default().note_first(&settings, now);
     }
 
@@ -109,7 +112,8 @@
         self.budgets.entry(service.clone()).or_default().restore(&settings, now);
     }
 
-    fn retry(&self, now: Moment) -> RetrySettings {
+    /// The retry budget with this instance's part of the slack.
+    pub(super) fn retry(&self, now: Moment) -> RetrySettings {
         let slack = self.settings.retry.slack / self.sharers(now) as f64;
         RetrySettings { slack, ..self.settings.retry }
     }
--- a/crates/serve/src/relay/search.rs
+++ b/crates/serve/src/relay/search.rs
@@ -83,7 +83,8 @@
         waits = matches!(news, News::Withdrawn);
         match news {
             News::Silent => call.retry_spared(),
-            News::Withdrawn => {}
+            // Only attempts before the response head are late.
+            News::Withdrawn | News::Late => {}
             News::TimedOut => {
                 awaited.time_out(call);
                 return None;
--- a/crates/serve/src/reload.rs
+++ b/crates/serve/src/reload.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use agatestair_policy::RetrySettings;
+use agatestair_policy::{HedgeLimits, RetrySettings};
 use agatestair_runtime::log_event;
 use agatestair_schema::settings::ServeSettings;
 use tokio::signal::unix::Signal;
@@ -27,6 +27,11 @@
     }
 }
 
+/// Bounds on second attempts, if there may be any.
+pub fn hedge_limits(settings: &ServeSettings) -> Option<HedgeLimits> {
+    settings.hedge.as_ref().map(|hedge| HedgeLimits { share: hedge.share, room: hedge.room })
+}
+
 /// Bound on the use of withdrawn API keys.
 pub fn revocation(settings: &ServeSettings) -> Option<Duration> {
     settings.bounds.revoke_ms.map(|ms| Duration::from_secs_f64(ms / 1000.0))
@@ -55,9 +60,11 @@
     if changed {
         let retry = retry_settings(&settings);
         let revoke = revocation(&settings);
+        let hedge = hedge_limits(&settings);
         shared.hub.ask(move |node, _| {
             node.set_retry(retry);
             node.set_revoke(revoke);
+            node.set_hedge(hedge);
         });
         shared.settings.replace(Rc::new(settings));
     }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -41,7 +41,7 @@
 use crate::pool::Pool;
 use crate::proof::{boot_now, keep_proof};
 use crate::pulse::{receive_datagrams, send_hello, send_pulses};
-use crate::reload::{Reload, retry_settings, revocation, watch_settings};
+use crate::reload::{Reload, hedge_limits, retry_settings, revocation, watch_settings};
 use crate::shared::{Listener, Shared, TableWakeups, accept};
 use crate::shutdown::{Shutdown, shut_down};
 use crate::store::{Reply, StoreClient, StoreError, Table, Transaction};
@@ -205,6 +205,7 @@
         connections: Cell::new(0),
     });
     let revoke = revocation(&shared.settings());
+    let hedge = hedge_limits(&shared.settings());
     let tenures = shared.settings().duties.as_ref().map(|_| {
         let lease = Duration::from_secs_f64(shared.settings().bounds.lease_ms / 1000.0);
         Tenures::new(own.name.clone(), own.born, lease, boot_now())
@@ -212,6 +213,7 @@
     let usage = Usage::new(windows(&shared));
     shared.hub.ask(move |node, _| {
         node.set_revoke(revoke);
+        node.set_hedge(hedge);
         node.tenures = tenures;
         node.usage = usage;
     });
