serve: sizes of News in plain.rs, samples from successes only

Cause: clippy warned of a large variant and of a missing semicolon; the head of a server error of a request that must run once counted as a sample. Change: the outcome is boxed; only successes of streams are samples.

--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -253,7 +253,7 @@
                 return Step::Wait;
             }
             if !response.status.is_server_error() || !call.route.kind.may_repeat() {
-                if handle.is_none() {
+                if handle.is_none() && response.status.is_success() {
                     call.note_head(guard.elapsed());
                 }
                 return Step::Respond(Box::new((guard, *response)));
--- a/crates/serve/src/plain.rs
+++ b/crates/serve/src/plain.rs
@@ -42,7 +42,7 @@
 /// What happens first while a request waits.
 enum News {
     /// An attempt is over.
-    Done(Attempt, Answer),
+    Done(Box<(Attempt, Answer)>),
     /// The only attempt is late, so that a second one may begin.
     Late,
     /// The request's deadline has passed.
@@ -66,7 +66,7 @@
             call.plan_hedge();
         }
         let (attempt, answer) = match next(&mut attempts, &call).await {
-            News::Done(attempt, answer) => (attempt, answer),
+            News::Done(done) => *done,
             News::Late => {
                 let first = &attempts[0];
                 let second = call.place_hedge(Search::Plain, &first.guard);
@@ -157,7 +157,7 @@
         sleep_until_some(call.hedge_due().filter(|_| heads.len() == 1)).await;
         // The body of a response that has begun is awaited.
         if heads.iter().any(|head| head.get().is_some()) {
-            pending().await
+            pending::<()>().await;
         }
     };
     let done = poll_fn(|context| {
@@ -174,7 +174,7 @@
         () = sleep_until(call.deadline) => return News::TimedOut,
         () = late => return News::Late,
     };
-    News::Done(attempts.remove(index), answer)
+    News::Done(Box::new((attempts.remove(index), answer)))
 }
 
 /// Reads a whole response and returns the connection to the pool.
