Engines: ordered at the first look, measured until the first is ordered away

Cause: the first orders waited for 5 s after a tenure began, so that the fleet met its callers while engines were still starting, and standing engines stayed.

Change: reclaimable engines are ordered at once; the provided fleet is the largest number of standing engines until the first order for them.

--- a/crates/serve/src/capacity.rs
+++ b/crates/serve/src/capacity.rs
@@ -169,9 +169,6 @@
     let Some((enough, services)) = services else { return Ok(orders) };
     for (name, scaling, engines, busy) in services {
         let view = orders.view(&name, &scaling, &engines, busy, enough);
-        if !orders.is_ready(&name) {
-            continue;
-        }
         for order in plan_capacity(&CapacitySettings::default(), &view) {
             send(shared, &mut orders, &name, &view, order).await?;
         }
@@ -197,12 +194,12 @@
             peaks.pop_front();
         }
         let peak = peaks.iter().map(|(_, busy)| *busy).fold(0.0, f64::max);
-        let total: u32 = engines.values().flatten().sum();
         // Engines that operators provide register one after the other at the start of a fleet.
-        let has_orders = self.has_orders(name);
-        let known = self.bases.entry(name.clone()).or_insert(total);
-        if !has_orders {
-            *known = (*known).max(total);
+        let standing = engines.values().map(|counts| counts[0]).sum();
+        let is_provided = !self.has_standing_orders(name);
+        let known = self.bases.entry(name.clone()).or_insert(standing);
+        if is_provided {
+            *known = (*known).max(standing);
         }
         let base = *known;
         let domains = engines.iter().map(|(domain, counts)| DomainCapacity {
@@ -223,14 +220,10 @@
         }
     }
 
-    /// Whether engines of a service were ordered before.
-    fn has_orders(&self, service: &Arc<str>) -> bool {
-        self.stored.keys().any(|(known, _)| known == service)
-    }
-
-    /// Whether enough time has passed to know the engines that operators provided.
-    fn is_ready(&self, service: &Arc<str>) -> bool {
-        self.has_orders(service) || boot_now().since(self.since) >= LEARNING_TIME
+    /// Whether standing engines of a service were ordered before, or ordered away.
+    fn has_standing_orders(&self, service: &Arc<str>) -> bool {
+        let mut places = self.stored.iter().filter(|((known, _), _)| known == service);
+        places.any(|(_, stored)| stored.standing.is_some())
     }
 
     fn kind(
