A connection with a request is not closed as an idle one

Cause: a connection that was chosen to be dropped while it was idle could get a request in the same poll; the caller then saw a close without an answer.

--- a/crates/serve/src/activity.rs
+++ b/crates/serve/src/activity.rs
@@ -84,6 +84,11 @@
         activity
     }
 
+    /// Whether a request is being served whose response, so far, the caller has read.
+    pub fn is_serving(&self) -> bool {
+        self.0.state.get().phase == Phase::Busy && self.0.unwritten.get() == 0
+    }
+
     /// Waits until the connection is dropped, since memory or connections are short.
     pub async fn dropped(&self) {
         self.0.hold.dropped().await;
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -324,14 +324,20 @@
         .max_buf_size(limits.longest_head().max(HEAD_BUFFER_BYTES))
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(CallerStream::new(stream, activity.clone())), service);
-    let mut closing = false;
+    let (mut closing, mut spared) = (false, false);
     let ended = loop {
         tokio::select! {
             // A request that has arrived is read before the connection is closed.
             biased;
             ended = &mut connection => break ended,
             () = shared.closing.cancelled(), if !closing => {}
-            () = activity.dropped() => return,
+            () = activity.dropped(), if !spared => {
+                if !activity.is_serving() {
+                    return;
+                }
+                // The connection was chosen while it was idle; a request has begun since.
+                spared = true;
+            }
             () = activity.expired(&shared) => {
                 let (phase, time) = activity.current();
                 if closing || phase == Phase::Head {
