Log each failed call to follow a table, and how much of the response came

Event 5011 is logged once per outage and does not say whether the head of a response or a part of its body is missing, so that a row too large for the time limit looks like a store that does not answer. Event 5087 and agatestair_serve_store_calls_failed_total do; 5012 has the row's size.

--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -1,10 +1,11 @@
 //! Outgoing HTTP/1.1 connections.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -199,6 +200,7 @@
     max_bytes: usize,
 ) -> Result<Response<Bytes>, String> {
     let mut reusable = connection.take().filter(Connection::is_usable);
+    let received = Cell::new(None);
     let work = async {
         let mut request = request;
         loop {
@@ -219,14 +221,13 @@
                 Err(SendError::Unknown(error)) => return Err(error.to_string()),
             };
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, max_bytes).collect().await;
-            let body = body.map_err(|error| error.to_string())?.to_bytes();
+            let body = collect(body, max_bytes, &received).await?;
             open.note_idle(None);
             return Ok((open, Response::from_parts(head, body)));
         }
     };
     let (open, response) =
-        timeout(limit, work).await.map_err(|_| "no response in time".to_owned())??;
+        timeout(limit, work).await.map_err(|_| describe_timeout(received.get()))??;
     *connection = Some(open);
     Ok(response)
 }
@@ -242,17 +243,44 @@
     limit: Duration,
     max_bytes: usize,
 ) -> Result<Response<Bytes>, String> {
+    let received = Cell::new(None);
     let work = async {
         let response = open.send(request).await.map_err(|error| match error {
             SendError::NotSent(_) => "connection closed".to_owned(),
             SendError::Unknown(error) => error.to_string(),
         })?;
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, max_bytes).collect().await;
-        let body = body.map_err(|error| error.to_string())?.to_bytes();
+        let body = collect(body, max_bytes, &received).await?;
         Ok(Response::from_parts(head, body))
     };
-    timeout(limit, work).await.map_err(|_| "no response in time".to_owned())?
+    timeout(limit, work).await.map_err(|_| describe_timeout(received.get()))?
+}
+
+/// Reads a whole body, and counts the bytes received so far.
+async fn collect(
+    body: Incoming,
+    max_bytes: usize,
+    received: &Cell<Option<usize>>,
+) -> Result<Bytes, String> {
+    let mut body = Limited::new(body, max_bytes);
+    let mut bytes = BytesMut::new();
+    received.set(Some(0));
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.map_err(|error| error.to_string())?.into_data() {
+            bytes.extend_from_slice(&data);
+            received.set(Some(bytes.len()));
+        }
+    }
+    Ok(bytes.freeze())
+}
+
+/// Describes a response that took too long, of which so many bytes of the body were received;
+/// `None` if its head was not.
+fn describe_timeout(received: Option<usize>) -> String {
+    match received {
+        None => "no response in time".to_owned(),
+        Some(bytes) => format!("response incomplete after {bytes} bytes"),
+    }
 }
 
 /// Sends a request of an adapter on a new connection, and reads the whole response.
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -102,6 +102,9 @@
 /// The second attempt of a request is over.
 pub const HEDGE_ENDED: Event =
     Event { number: 5086, level: Level::Info, text: "second attempt over" };
+/// A call to follow a table of the store has failed.
+pub const STORE_CALL_FAILED: Event =
+    Event { number: 5087, level: Level::Info, text: "call to the store failed" };
 /// A stream continues at another endpoint.
 pub const RESUMED: Event = Event { number: 5023, level: Level::Info, text: "stream resumed" };
 /// A caller disconnected before the response was ready.
@@ -310,4 +313,5 @@
     CALLER_DROPPED,
     HEDGE_BEGUN,
     HEDGE_ENDED,
+    STORE_CALL_FAILED,
 ];
--- a/crates/serve/src/watch.rs
+++ b/crates/serve/src/watch.rs
@@ -15,8 +15,8 @@
 use crate::endpoint_list::Restored;
 use crate::events::{
     ANSWER_FORMER, CONFIGURED, CUSTOMERS_MALFORMED, ENDPOINT_CHANGED, ENDPOINT_EXPIRED,
-    ENDPOINT_REMOVED, ENTRY_HELD, READY, ROW_MALFORMED, STORE_AVAILABLE, STORE_UNAVAILABLE,
-    TABLE_READ_AGAIN,
+    ENDPOINT_REMOVED, ENTRY_HELD, READY, ROW_MALFORMED, STORE_AVAILABLE, STORE_CALL_FAILED,
+    STORE_UNAVAILABLE, TABLE_READ_AGAIN,
 };
 use crate::node::{FollowMode, Node};
 use crate::shared::Shared;
@@ -126,6 +126,12 @@
                     log_event!(shared.log, STORE_UNAVAILABLE, "table" => table.label(),
                         "error" => error.to_string());
                 }
+                metrics::counter!("agatestair_serve_store_calls_failed_total",
+                    "table" => table.label())
+                .increment(1);
+                log_event!(shared.log, STORE_CALL_FAILED, "table" => table.label(),
+                    "call" => format!("{call:?}"), "ms" => last_call.elapsed().as_millis() as u64,
+                    "failures" => failures, "error" => error.to_string());
                 // A store that has lost its history is reachable.
                 wait_to_retry(&shared, table, failures, !history_lost).await;
             }
@@ -367,7 +373,7 @@
     // The key of a malformed row may be unknown.
     let is_known = &*row.key == CONFIGURATION_KEY || row.key.is_empty();
     let Some(value) = row.value.filter(|_| is_known) else { return };
-    let key = row.key.clone();
+    let (key, bytes) = (row.key.clone(), value.len());
     match (shared.wire.read_configuration)(&value) {
         Ok(configuration) => {
             let version = configuration.version;
@@ -384,7 +390,7 @@
             });
             if adopted {
                 log_event!(shared.log, CONFIGURED, "version" => version, "row" => row.version,
-                    "keys" => keys, "source" => source);
+                    "bytes" => bytes, "keys" => keys, "source" => source);
                 for problem in problems.unwrap_or_default() {
                     log_event!(shared.log, CUSTOMERS_MALFORMED, "version" => version,
                         "problem" => problem);
