A response that arrives is not given up because it is large

What callers saw: after a change that added 1,400 routes, 76 of 84 instances served by the version before it for 20 s (CONFIG, DENIED).

Cause: the time limit of a call to the store, 0.5 s beyond its wait or 0.9 s for a reading, covered the body. On a link of 10 Mbit/s the row takes 0.27 s, with the store's delay or a second version more than the limit, and each call began anew. Only the end of the store's history, 20 s later, led to a reading of one version within 0.9 s.

Fix: the limit holds for the head. The body may take any time as long as it arrives at 64 KiB/s without pauses as long as the limit; a silent store is noticed as soon as before. The same for all calls of exchange and exchange_on: readings of the endpoints, lists of caches, the platform's API.

--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -1,6 +1,6 @@
 //! Outgoing HTTP/1.1 connections.
 
-use std::cell::Cell;
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::listen::configure_peer;
 use crate::read_limit::{LimitedStream, ReadLimit};
@@ -30,6 +30,12 @@
 /// not close it while a request is in transit.
 const IDLE_SHARE: f64 = 0.5;
 
+/// Lowest rate at which the body of a response may arrive, in bytes per second.
+const MIN_RATE: f64 = 64.0 * 1024.0;
+
+/// Error if the head of a response has not arrived in time.
+const NO_HEAD: &str = "no response in time";
+
 /// Timeouts of outgoing connections.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionSettings {
@@ -87,6 +93,15 @@
     Unknown(hyper::Error),
 }
 
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(_) => write!(f, "connection closed"),
+            Self::Unknown(error) => write!(f, "{error}"),
+        }
+    }
+}
+
 impl Connection {
     /// Connects to an address.
     ///
@@ -185,8 +200,9 @@
 
 /// Sends a request on an existing connection or a new one, and reads the whole response.
 ///
-/// On success the connection is stored in `connection` for reuse. It is closed on errors and after
-/// `limit`, since a connection that has gone silent may never recover.
+/// On success the connection is stored in `connection` for reuse. It is closed on errors and if the
+/// response does not arrive in time, since a connection that has gone silent may never recover: the
+/// head within `limit`, the body as [`collect`] says.
 ///
 /// # Errors
 ///
@@ -200,8 +216,7 @@
     max_bytes: usize,
 ) -> Result<Response<Bytes>, String> {
     let mut reusable = connection.take().filter(Connection::is_usable);
-    let received = Cell::new(None);
-    let work = async {
+    let head = async {
         let mut request = request;
         loop {
             let fresh = reusable.is_none();
@@ -211,28 +226,23 @@
                     Connection::open(address, settings).await.map_err(|error| error.to_string())?
                 }
             };
-            let response = match open.send(request).await {
-                Ok(response) => response,
-                Err(SendError::NotSent(returned)) if !fresh => {
-                    request = *returned;
-                    continue;
-                }
-                Err(SendError::NotSent(_)) => return Err("connection closed".to_owned()),
-                Err(SendError::Unknown(error)) => return Err(error.to_string()),
-            };
-            let (head, body) = response.into_parts();
-            let body = collect(body, max_bytes, &received).await?;
-            open.note_idle(None);
-            return Ok((open, Response::from_parts(head, body)));
+            match open.send(request).await {
+                Ok(response) => return Ok((open, response)),
+                Err(SendError::NotSent(returned)) if !fresh => request = *returned,
+                Err(error) => return Err(error.to_string()),
+            }
         }
     };
-    let (open, response) =
-        timeout(limit, work).await.map_err(|_| describe_timeout(received.get()))??;
+    let (mut open, response) = timeout(limit, head).await.map_err(|_| NO_HEAD.to_owned())??;
+    let (head, body) = response.into_parts();
+    let body = collect(body, limit, max_bytes).await?;
+    open.note_idle(None);
     *connection = Some(open);
-    Ok(response)
+    Ok(Response::from_parts(head, body))
 }
 
-/// Sends a request on an open connection, reads the whole response and closes the connection.
+/// Sends a request on an open connection, reads the whole response and closes the connection. The
+/// time limits are those of [`exchange`].
 ///
 /// # Errors
 ///
@@ -243,44 +253,30 @@
     limit: Duration,
     max_bytes: usize,
 ) -> Result<Response<Bytes>, String> {
-    let received = Cell::new(None);
-    let work = async {
-        let response = open.send(request).await.map_err(|error| match error {
-            SendError::NotSent(_) => "connection closed".to_owned(),
-            SendError::Unknown(error) => error.to_string(),
-        })?;
-        let (head, body) = response.into_parts();
-        let body = collect(body, max_bytes, &received).await?;
-        Ok(Response::from_parts(head, body))
-    };
-    timeout(limit, work).await.map_err(|_| describe_timeout(received.get()))?
+    let response = timeout(limit, open.send(request)).await.map_err(|_| NO_HEAD.to_owned())?;
+    let (head, body) = response.map_err(|error| error.to_string())?.into_parts();
+    let body = collect(body, limit, max_bytes).await?;
+    Ok(Response::from_parts(head, body))
 }
 
-/// Reads a whole body, and counts the bytes received so far.
-async fn collect(
-    body: Incoming,
-    max_bytes: usize,
-    received: &Cell<Option<usize>>,
-) -> Result<Bytes, String> {
+/// Reads a whole body. It may take any time as long as it arrives at [`MIN_RATE`] or more, without
+/// pauses longer than `pause`: a large body takes long on a narrow link, and would take no less if
+/// it were requested again.
+async fn collect(body: Incoming, pause: Duration, max_bytes: usize) -> Result<Bytes, String> {
     let mut body = Limited::new(body, max_bytes);
     let mut bytes = BytesMut::new();
-    received.set(Some(0));
-    while let Some(frame) = body.frame().await {
+    let begun = Instant::now();
+    loop {
+        let behind = begun + pause + Duration::from_secs_f64(bytes.len() as f64 / MIN_RATE);
+        let until = behind.min(Instant::now() + pause);
+        let Ok(frame) = timeout_at(until, body.frame()).await else {
+            return Err(format!("response incomplete after {} bytes", bytes.len()));
+        };
+        let Some(frame) = frame else { return Ok(bytes.freeze()) };
         if let Ok(data) = frame.map_err(|error| error.to_string())?.into_data() {
             bytes.extend_from_slice(&data);
-            received.set(Some(bytes.len()));
         }
     }
-    Ok(bytes.freeze())
-}
-
-/// Describes a response that took too long, of which so many bytes of the body were received;
-/// `None` if its head was not.
-fn describe_timeout(received: Option<usize>) -> String {
-    match received {
-        None => "no response in time".to_owned(),
-        Some(bytes) => format!("response incomplete after {bytes} bytes"),
-    }
 }
 
 /// Sends a request of an adapter on a new connection, and reads the whole response.
