An instance that lacks a configuration reads its newest version only

Cause: an instance that is told of a missing change asked the feed for all changes since its version. For the configuration, a single row, these are all its former versions, each as large as the newest, which alone counts; more come while they are transferred, so that the newest waits behind the others.

--- a/crates/serve/src/watch.rs
+++ b/crates/serve/src/watch.rs
@@ -233,7 +233,8 @@
     shared.hub.ask(move |node, _| {
         let cursor = node.cursor(table);
         cursor.behind()?;
-        if cursor.may_have_skipped() {
+        // The changes of a single row are all its former versions, of which only the newest counts.
+        if cursor.may_have_skipped() || table == Table::Configuration {
             return Some(StoreCall::Full);
         }
         cursor.known.map(|after| StoreCall::Changes { after, wait: Duration::ZERO })
