A reading in progress is not begun anew by news of the same change

Cause: a call for a missing change was dropped 250 ms after any news of it, which proofs of the configuration repeat; a transfer that takes longer began anew. Only a long poll, which may not return the change, is to be replaced.

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -83,7 +83,7 @@
 pub use customers::{Access, Credential, Customer, Customers, KeyHash};
 pub use datagram::{
     Bulletin, BulletinTable, BulletinUpdate, Datagram, Identity, Pulse, PulseLimit, PulseLimits,
-    PulseLoad, TableState,
+    PulseLoad, PulseProof, TableState,
 };
 pub use digest::{Digest, DigestNews, DomainSums};
 pub use endpoint_list::EndpointList;
--- a/crates/serve/src/watch.rs
+++ b/crates/serve/src/watch.rs
@@ -73,6 +73,14 @@
     Changes { after: u64, wait: Duration },
 }
 
+impl StoreCall {
+    /// Whether the store may answer only once there is a change. Any other call already reads what
+    /// is missing, and would begin anew.
+    fn waits(self) -> bool {
+        matches!(self, Self::Changes { wait, .. } if !wait.is_zero())
+    }
+}
+
 /// Follows one table until the process ends.
 pub async fn follow(shared: Rc<Shared>, table: Table) {
     let mut failures = 0;
@@ -85,7 +93,9 @@
         let (call, reply) = tokio::select! {
             reply = read(&shared, table, call) => (call, reply),
             // Another instance has seen a change that the pending call has not returned.
-            next = missed_change(&shared, table) => (next, read(&shared, table, next).await),
+            next = missed_change(&shared, table), if call.waits() => {
+                (next, read(&shared, table, next).await)
+            }
             // Versions in the pending call mean nothing any more.
             () = shared.until_restored(asked) => continue,
         };
