Requests that crash endpoints are quarantined as a whole

Cause: only the shared parts of prompts were suspected.

Fix: a fingerprint of method, path with query, customer, prompt and body is a suspect like a part, and all that holds for parts holds for it: reports to all instances, survivals, verdicts, one trial. It is computed only if an endpoint of the service has crashed. On equal evidence it goes before parts, and its crashes count as one for them. No change of the datagrams' layout.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -49,7 +49,7 @@
 pub use pressure::{Holding, PressureSettings, choose_drops};
 pub use quarantine::{
     CrashReport, ProcessKey, Quarantine, QuarantineChange, QuarantineCheck, ServicePart, Survival,
-    Verdict,
+    Verdict, fingerprint,
 };
 pub use request::{Call, Completion, RequestFacts, Work};
 pub use retry::{RetryBudget, RetrySettings};
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -1,8 +1,9 @@
-//! Quarantine of prompt parts that crash the engines that answer them.
+//! Quarantine of requests and of prompt parts that crash the endpoints that answer them.
 //!
-//! Instances report the crashes that they observe, each with the parts of the prompts whose answers
-//! were beginning at the crashed process. A part that keeps occurring in crashes and in no run that
-//! survives is quarantined: no instance sends prompts with it any more. A crash has one cause, so
+//! Instances report the crashes that they observe, each with the fingerprints of the requests whose
+//! answers were beginning at the crashed process, and the parts of their prompts. A part that keeps
+//! occurring in crashes and in no run that survives is quarantined: no instance sends prompts with it
+//! any more. The fingerprint of a request is treated as a part of it. A crash has one cause, so
 //! crashes that a quarantined part explains do not count for other parts.
 
 mod report;
@@ -12,8 +13,10 @@
 
 use crate::moment::Moment;
 
+use report::is_fingerprint;
 pub use report::{
     CrashReport, ProcessKey, QuarantineChange, QuarantineCheck, ServicePart, Survival, Verdict,
+    fingerprint,
 };
 
 /// Crashes within this time of each other count as one, since they may have a common cause outside
@@ -112,6 +115,12 @@
         self.crashes.iter().any(|crash| crash.process == process)
     }
 
+    /// Whether requests to a service may have crashed endpoints, so that their fingerprints matter.
+    pub fn suspects_requests(&self, service: u64) -> bool {
+        self.crashes.iter().any(|crash| crash.service == service)
+            || self.entries.keys().any(|part| part.service == service)
+    }
+
     /// Records a crash that this instance observed.
     pub fn note_crash(&mut self, report: &CrashReport, now: Moment) -> Vec<QuarantineChange> {
         let index = self.add_crash(report, now);
@@ -355,8 +364,10 @@
             let evidence = self.evidence();
             let sufficient =
                 evidence.iter().filter(|(part, crashes)| self.is_sufficient(**part, crashes));
-            let guilty =
-                sufficient.max_by_key(|(part, crashes)| (distinct(crashes), crashes.len(), **part));
+            // A request with the evidence of its parts goes before them: it is the narrower verdict.
+            let guilty = sufficient.max_by_key(|(part, crashes)| {
+                (distinct(crashes), crashes.len(), is_fingerprint(part.part), **part)
+            });
             let Some((part, crashes)) = guilty else {
                 self.note_doubted(&evidence, now);
                 return changes;
@@ -377,14 +388,26 @@
     }
 
     /// Times of the unexplained crashes since the last survival of each suspect.
+    ///
+    /// A quarantined request may have crashed endpoints by a part of its prompt, so that all its
+    /// crashes count as one for parts.
     fn evidence(&self) -> HashMap<ServicePart, Vec<Moment>> {
         let mut evidence: HashMap<ServicePart, Vec<Moment>> = HashMap::new();
+        let mut counted = HashSet::new();
         for crash in &self.crashes {
             let part = |part: &u64| ServicePart { service: crash.service, part: *part };
-            if crash.suspects.iter().any(|suspect| self.entries.contains_key(&part(suspect))) {
+            let suspects = crash.suspects.iter().map(part);
+            let known = suspects.filter(|suspect| self.entries.contains_key(suspect));
+            let (requests, parts): (Vec<_>, Vec<_>) =
+                known.partition(|suspect| is_fingerprint(suspect.part));
+            let is_explained = !requests.is_empty();
+            if !parts.is_empty() || is_explained && !requests.iter().any(|r| counted.insert(*r)) {
                 continue;
             }
             for suspect in crash.suspects.iter().map(part) {
+                if is_explained && is_fingerprint(suspect.part) {
+                    continue;
+                }
                 if self.survivors.get(&suspect).is_none_or(|at| *at < crash.at) {
                     evidence.entry(suspect).or_default().push(crash.at);
                 }
--- a/crates/policy/src/quarantine/report.rs
+++ b/crates/policy/src/quarantine/report.rs
@@ -2,6 +2,30 @@
 
 use std::time::Duration;
 
+use sha2::{Digest, Sha256};
+
+/// Bits that tell fingerprints of requests from identifiers of prompt parts. A part that has them all
+/// is only ranked like a fingerprint.
+const FINGERPRINT: u64 = 0xffff << 48;
+
+/// Fingerprint of a request as a whole, which is suspected like a part of its prompt; the result is
+/// the same in every process and build. `fields` are what makes the request another one.
+pub fn fingerprint(fields: &[&[u8]]) -> u64 {
+    let mut hash = Sha256::new();
+    for field in fields {
+        hash.update((field.len() as u64).to_le_bytes());
+        hash.update(field);
+    }
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hash.finalize()[..8]);
+    u64::from_le_bytes(bytes) | FINGERPRINT
+}
+
+/// Whether an identifier is the fingerprint of a request.
+pub(super) fn is_fingerprint(part: u64) -> bool {
+    part & FINGERPRINT == FINGERPRINT
+}
+
 /// A prompt part at a service, both as hashes.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ServicePart {
@@ -29,7 +53,8 @@
     pub service: u64,
     /// Time since the crash.
     pub age: Duration,
-    /// Parts of the prompts whose answers were beginning, without the last one of each prompt.
+    /// Fingerprints of the requests whose answers were beginning, and the parts of their prompts
+    /// without the last one of each prompt.
     pub suspects: Vec<u64>,
 }
 
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -18,6 +18,10 @@
 const SECOND_GUILTY: u64 = 21;
 /// A sound part that many prompts hold.
 const HOT: u64 = 30;
+/// Fingerprints of requests.
+const REQUEST: u64 = (0xffff << 48) | 1;
+const OTHER_REQUEST: u64 = (0xffff << 48) | 2;
+const THIRD_REQUEST: u64 = (0xffff << 48) | 3;
 
 const NONE: &[u64] = &[];
 
@@ -59,6 +63,40 @@
 const CLEAR: QuarantineCheck = QuarantineCheck::Clear;
 
 const CASES: &[Case] = &[
+    Case {
+        name: "a request goes before the parts of its prompt",
+        steps: &[
+            Crash(0, &[FIRST, REQUEST]),
+            Crash(1000, &[FIRST, REQUEST]),
+            Crash(2000, &[FIRST, REQUEST]),
+            Check(2000, REQUEST, QuarantineCheck::Denied(REQUEST)),
+            Check(2000, FIRST, CLEAR),
+        ],
+        quarantined: &[REQUEST],
+    },
+    Case {
+        name: "a part whose first crashes were those of one request",
+        steps: &[
+            Crash(0, &[GUILTY, REQUEST]),
+            Crash(1000, &[GUILTY, REQUEST]),
+            Crash(2000, &[GUILTY, REQUEST]),
+            Crash(3000, &[GUILTY, OTHER_REQUEST]),
+            Check(3000, GUILTY, CLEAR),
+            PeerCrash(4000, &[GUILTY, THIRD_REQUEST]),
+            Check(4000, GUILTY, DENIED),
+        ],
+        quarantined: &[GUILTY, REQUEST],
+    },
+    Case {
+        name: "a request that stood beside another one",
+        steps: &[
+            Crash(0, &[REQUEST, OTHER_REQUEST]),
+            Survived(500, &[OTHER_REQUEST]),
+            Crash(1000, &[REQUEST, OTHER_REQUEST]),
+            Crash(2000, &[REQUEST, OTHER_REQUEST]),
+        ],
+        quarantined: &[REQUEST],
+    },
     Case {
         name: "two crashes are not sufficient",
         steps: &[Crash(0, &[GUILTY]), Crash(1000, &[GUILTY]), Check(1100, GUILTY, CLEAR)],
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -1,5 +1,6 @@
 //! State of one request in flight: placement, attempts so far, and retry decisions.
 
+use std::cell::OnceCell;
 use std::future::ready;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -7,7 +8,7 @@
 use std::time::Duration;
 
 use agatestair_policy::board::{Denial, DenialCause, FailureKind, PlacementRequest};
-use agatestair_policy::{EndpointKey, QuarantineCheck};
+use agatestair_policy::{EndpointKey, QuarantineCheck, fingerprint};
 use agatestair_runtime::log_event;
 use http::header::AUTHORIZATION;
 use rand::Rng;
@@ -46,6 +47,9 @@
 /// Number of endpoints that may crash during runs of a request before it is given up.
 const MAX_CRASHES: u32 = 2;
 
+/// Cause of failures of quarantined requests.
+pub const QUARANTINED_CAUSE: &str = "the request or a part of its prompt crashes endpoints";
+
 /// Retry delay for callers whose prompt holds a quarantined part. The part is tried again at most
 /// once.
 const QUARANTINED_RETRY_AFTER: Duration = Duration::from_secs(60);
@@ -95,6 +99,8 @@
     pub crashes: u32,
     /// Whether the request is the trial of a quarantined prompt part.
     pub trial: bool,
+    /// Fingerprint of the request, once it was needed.
+    pub fingerprint: OnceCell<u64>,
     /// Counts the request for the usage reports.
     pub meter: RunMeter,
     /// Its second attempt, if the settings allow any.
@@ -252,10 +258,9 @@
         Err(denial)
     }
 
-    /// Denies an attempt if a part of the prompt is quarantined, unless the request is the part's
-    /// trial.
+    /// Denies an attempt if the request or a part of its prompt is quarantined, unless it is the trial.
     fn check_quarantine(&mut self, search: Search) -> Result<(), Denial> {
-        let parts = self.shared_parts();
+        let parts = self.likely_suspects();
         if parts.is_empty() || self.trial {
             return Ok(());
         }
@@ -282,12 +287,41 @@
         }
     }
 
-    /// Identifiers of the prompt's parts that it may share with other prompts: all but the last.
-    pub fn shared_parts(&self) -> Vec<u64> {
+    /// What may crash an endpoint that runs the request: the request as a whole, and the parts of its
+    /// prompt that it may share with other prompts, all but the last.
+    pub fn suspects(&self) -> Vec<u64> {
+        let mut suspects = self.shared_parts();
+        suspects.push(self.fingerprint());
+        suspects
+    }
+
+    /// Like [`Call::suspects`], with the request as a whole only if requests to the service may have
+    /// crashed endpoints: its fingerprint takes time.
+    pub fn likely_suspects(&self) -> Vec<u64> {
+        let service = self.service.name.clone();
+        let suspects_requests =
+            self.shared.hub.ask(move |node, _| node.suspects_requests(&service));
+        if suspects_requests { self.suspects() } else { self.shared_parts() }
+    }
+
+    fn shared_parts(&self) -> Vec<u64> {
         let parts = self.facts.prompt.iter().filter_map(|prompt| prompt.parts.split_last());
         parts.flat_map(|(_, shared)| shared.iter().map(|part| part.id)).collect()
     }
 
+    /// Fingerprint of what is the same when a caller sends the request again.
+    fn fingerprint(&self) -> u64 {
+        *self.fingerprint.get_or_init(|| {
+            let ForwardedRequest { method, uri, body, .. } = &self.forwarded;
+            let customer = self.customer.as_ref().map_or("", |customer| &customer.name);
+            let path = uri.path_and_query().map_or("", |path| path.as_str());
+            let parts = self.facts.prompt.iter().flat_map(|prompt| &prompt.parts);
+            let prompt: Vec<u8> = parts.flat_map(|part| part.id.to_le_bytes()).collect();
+            let texts = [method.as_str(), path, customer].map(str::as_bytes);
+            fingerprint(&[texts[0], texts[1], texts[2], &prompt, body])
+        })
+    }
+
     fn log_denial(&self, search: Search, denial: &Denial, share: Option<f64>, part: Option<u64>) {
         let (service, connections) = (self.service.name.clone(), self.service.connections);
         let tried = self.tried.clone();
@@ -527,7 +561,7 @@
         let cause = match denial.cause {
             DenialCause::NoEndpoint => "no endpoint takes work",
             DenialCause::TooLate => "no endpoint can answer in time",
-            DenialCause::Quarantined => "a part of the prompt crashes endpoints",
+            DenialCause::Quarantined => QUARANTINED_CAUSE,
             DenialCause::Withdrawn => return Failure::Unauthorized("the API key was withdrawn"),
             DenialCause::Unproven => return Failure::unproven(),
             DenialCause::Stopping => {
--- a/crates/serve/src/crash.rs
+++ b/crates/serve/src/crash.rs
@@ -32,7 +32,7 @@
     let process = guard.placement.process;
     call.crashes += 1;
     let survived = answering.is_some_and(|time| time >= SURVIVED_AFTER);
-    let (service, parts) = (call.service.name.clone(), call.shared_parts());
+    let (service, parts) = (call.service.name.clone(), call.suspects());
     metrics::counter!("agatestair_serve_crashed_runs_total").increment(1);
     log_event!(shared.log, ENDPOINT_CRASHED, "request" => call.forwarded.id.as_deref(),
         "endpoint" => &*guard.placement.name, "parts" => list(&parts), "survived" => survived,
@@ -102,7 +102,7 @@
 
 /// Records that a run survived.
 pub fn note_survived(call: &Call) {
-    let (service, parts) = (call.service.name.clone(), call.shared_parts());
+    let (service, parts) = (call.service.name.clone(), call.likely_suspects());
     if parts.is_empty() {
         return;
     }
@@ -110,7 +110,7 @@
     log_changes(&call.shared, &changes, None);
 }
 
-/// Waits until a part of the request's prompt is quarantined.
+/// Waits until one of these parts is quarantined.
 pub async fn until_quarantined(shared: Rc<Shared>, service: Arc<str>, parts: Vec<u64>) {
     loop {
         let changed = shared.quarantined.notified();
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -14,7 +14,7 @@
 use crate::attempt_guard::AttemptGuard;
 use crate::awaited::{ATTEMPT_SHARE, Attempt, Awaited, News, TIMEOUT_FACTOR, probe_delay};
 use crate::body::ResponseBody;
-use crate::call::{Call, after_failure};
+use crate::call::{Call, QUARANTINED_CAUSE, after_failure};
 use crate::connection::request_once;
 use crate::crash::{note_broken, until_quarantined};
 use crate::dispatches::Work;
@@ -125,7 +125,7 @@
         awaited: Awaited::default(),
         error: None,
     };
-    let (service, parts) = (call.service.name.clone(), call.shared_parts());
+    let (service, parts) = (call.service.name.clone(), call.likely_suspects());
     let quarantined = until_quarantined(call.shared.clone(), service, parts);
     tokio::pin!(quarantined);
     let mut step = Step::Again;
@@ -155,8 +155,7 @@
         let news = tokio::select! {
             news = progress.awaited.next(&mut call) => news,
             () = &mut quarantined, if !trial => {
-                let cause = "a part of the prompt crashes endpoints";
-                return Err(Failure::MayHaveRun(cause.to_owned()));
+                return Err(Failure::MayHaveRun(QUARANTINED_CAUSE.to_owned()));
             }
         };
         step = note_news(&mut call, &mut progress, news).await;
--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -1,6 +1,6 @@
 //! Handles callers' requests: parses, routes and limits them, and produces the response.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -196,6 +196,7 @@
         answering: false,
         crashes: 0,
         trial: false,
+        fingerprint: OnceCell::new(),
         meter: RunMeter::new(shared.clone(), metered),
         hedge: None,
     };
--- a/crates/serve/src/hedge.rs
+++ b/crates/serve/src/hedge.rs
@@ -84,7 +84,7 @@
     pub fn place_hedge(&mut self, search: Search, first: &AttemptGuard) -> Option<AttemptGuard> {
         self.cancel_hedge();
         let service = self.service.name.clone();
-        let parts = self.shared_parts();
+        let parts = self.likely_suspects();
         let is_quarantined =
             self.shared.hub.ask(move |node, _| node.is_quarantined(&service, &parts));
         let stops = self.shared.leaving.is_cancelled();
--- a/crates/serve/src/node/crashes.rs
+++ b/crates/serve/src/node/crashes.rs
@@ -59,6 +59,11 @@
         self.quarantine.check(name_hash(service), parts.iter().copied(), elected, now)
     }
 
+    /// Whether requests to a service may have crashed endpoints.
+    pub fn suspects_requests(&self, service: &str) -> bool {
+        self.quarantine.suspects_requests(name_hash(service))
+    }
+
     /// Whether one of these parts is quarantined.
     pub fn is_quarantined(&self, service: &str, parts: &[u64]) -> bool {
         self.quarantine.contains(name_hash(service), parts.iter().copied())
--- a/crates/serve/src/plain.rs
+++ b/crates/serve/src/plain.rs
@@ -15,7 +15,7 @@
 use crate::awaited::sleep_until_some;
 use crate::body::ResponseBody;
 use crate::call::{Call, after_failure};
-use crate::crash::{cut_by_crash, note_broken};
+use crate::crash::{cut_by_crash, note_broken, note_survived};
 use crate::dispatches::{DispatchKey, Work};
 use crate::framing::Framing;
 use crate::node::Search;
@@ -95,6 +95,9 @@
         if matches!(answer, Ok(_) | Err(SendOutcome::Unknown(_))) {
             call.meter.note_written();
         }
+        if answer.is_ok() {
+            note_survived(&call);
+        }
         match answer {
             Ok(response) if response.status().is_server_error() => {
                 call.note_failed(&guard, FailureKind::Failed, "the endpoint failed");
