A retry budget counts the first sends of its window only

Cause: the budget drops slots of 0.25 s once they are outside the window as a whole, so that first sends of up to 10.25 s add to what may be retried in 10 s. Where all instances spend all they have, the fleet exceeds the users' bound by up to 2.5%, less what is reserved for instances that may join.

--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -55,7 +55,9 @@
     /// Like [`RetryBudget::spend`], from the first part of the budget only: the rest of it is kept.
     pub fn spend_part(&mut self, part: f64, settings: &RetrySettings, now: Moment) -> bool {
         self.slot(settings, now);
-        let firsts: f64 = self.slots.iter().map(|slot| slot.firsts).sum();
+        // Of the oldest slot, only retries count: not all of its first sends need be in the window.
+        let whole = self.slots.iter().filter(|slot| now.since(slot.begin) <= settings.window);
+        let firsts: f64 = whole.map(|slot| slot.firsts).sum();
         let repeats: f64 = self.slots.iter().map(|slot| slot.repeats).sum();
         if repeats + 1.0 > part * (settings.slack + settings.ratio * firsts) {
             return false;
