A route that may be in a newer configuration is refused, not denied

Cause: an instance that knows that it lacks a version answered as if it knew all routes. It answers 503, not run, with a Retry-After of 250 ms now.

large_rows.rs failed before: 57 to 377 answers 404 in a case after the instance was told of the version; none with it.

--- a/crates/serve/src/handle.rs
+++ b/crates/serve/src/handle.rs
@@ -30,12 +30,17 @@
 use crate::run_meter::RunMeter;
 use crate::send::ForwardedRequest;
 use crate::shared::Shared;
+use crate::store::Table;
 use crate::wire::CallFacts;
 
 /// Longest time that a request waits for the process to load its initial state, enough for about
 /// ten store calls.
 const STARTUP_WAIT: Duration = Duration::from_millis(250);
 
+/// Retry delay for callers whose route may be in a newer configuration, which takes about as long to
+/// read.
+const NEWER_RETRY_AFTER: Duration = Duration::from_millis(250);
+
 /// Interval at which a waiting request checks whether the initial state is loaded.
 const STARTUP_POLL: Duration = Duration::from_millis(4);
 
@@ -122,13 +127,14 @@
     let draw = rand::rng().random::<f64>();
     let host = host.unwrap_or_default();
     let credential = (shared.wire.read_credential)(&head.headers);
-    let (limits, found, access) = shared.hub.ask(move |node, _| {
+    let (limits, found, access, lacks_version) = shared.hub.ask(move |node, _| {
         let found = node.route(&host, &path, draw);
+        let lacks_version = node.cursor(Table::Configuration).behind().is_some();
         let access = match &found {
             RouteMatch::Found { route, .. } => node.access(route, credential, boot_now()),
             RouteMatch::Unknown | RouteMatch::Missing => Access::Unchecked,
         };
-        (node.limits(), found, access)
+        (node.limits(), found, access, lacks_version)
     });
     let checks = access != Access::Unchecked;
     let body_end = arrived + limits.idle_time;
@@ -137,6 +143,10 @@
             let cause = "no configuration is known yet";
             Err((None, Failure::NotRun { retry_after: DEFAULT_RETRY_AFTER, cause }))
         }
+        RouteMatch::Missing if lacks_version => {
+            let cause = "a newer configuration is being read";
+            Err((None, Failure::NotRun { retry_after: NEWER_RETRY_AFTER, cause }))
+        }
         RouteMatch::Missing => Err((None, Failure::NoRoute)),
         RouteMatch::Found { route, service, version } => match admit(access) {
             Ok(customer) => Ok((route, service, version, customer)),
