A process that starts again does not retry on its former one's budget

Cause: a process knows nothing of the retries of its former one, and has the whole slack, and the ratio of all its first sends, anew within the window that holds them. If all instances are killed, the fleet exceeds the users' bound (BUDGET).

Fix: a process that finds a row of its former one in the store, or has not read the rows yet, retries nothing for the length of the window.

--- a/crates/serve/src/node.rs
+++ b/crates/serve/src/node.rs
@@ -215,6 +215,8 @@
     configurations: Cursor,
     endpoints: Cursor,
     budgets: HashMap<Arc<str>, RetryBudget>,
+    /// Whether no former process of this instance has spent retries.
+    first_process: bool,
     sharing: Sharing,
     /// Bounds on second attempts, if the settings allow any.
     hedge: Option<HedgeLimits>,
@@ -268,6 +270,7 @@
             configurations: Cursor::default(),
             endpoints: Cursor::default(),
             budgets: HashMap::new(),
+            first_process: false,
             sharing: Sharing::default(),
             hedge: None,
             hedges: Hedges::default(),
--- a/crates/serve/src/node/budgets.rs
+++ b/crates/serve/src/node/budgets.rs
@@ -112,8 +112,18 @@
         self.budgets.entry(service.clone()).or_default().restore(&settings, now);
     }
 
-    /// The retry budget with this instance's part of the slack.
+    /// Records that this process follows no other one of this instance.
+    pub fn note_first_process(&mut self) {
+        self.first_process = true;
+    }
+
+    /// The retry budget with this instance's part of the slack; none while the window holds retries
+    /// of a former process, which this one does not know.
     pub(super) fn retry(&self, now: Moment) -> RetrySettings {
+        let started = Moment(0);
+        if !self.first_process && now.since(started) < self.settings.retry.window {
+            return RetrySettings { ratio: 0.0, slack: 0.0, ..self.settings.retry };
+        }
         let slack = self.settings.retry.slack / self.sharers(now) as f64;
         RetrySettings { slack, ..self.settings.retry }
     }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -333,8 +333,7 @@
 
 /// Writes the own row if the store does not have it.
 async fn check_row(shared: &Shared, own: &Member) -> Result<(), StoreError> {
-    let (written, _) = read_members(shared, own).await?;
-    if written {
+    if read_members(shared, own).await?.written {
         return Ok(());
     }
     log_event!(shared.log, ROW_LOST, "timeline" => shared.timeline());
@@ -346,11 +345,17 @@
 async fn join(shared: Rc<Shared>, own: Member, socket: Rc<UdpSocket>) -> Option<u64> {
     let mut pause = ROW_PAUSE;
     if shared.settings().bootstrap {
+        shared.hub.ask(|node, _| node.note_first_process());
         sleep(ROW_SPREAD.mul_f64(rand::rng().random::<f64>())).await;
-    } else if let Ok((true, timeline)) = read_members(&shared, &own).await {
-        // The row of the previous process has the same addresses.
-        send_hellos(&shared, &socket).await;
-        return timeline;
+    } else if let Ok(found) = read_members(&shared, &own).await {
+        if !found.former {
+            shared.hub.ask(|node, _| node.note_first_process());
+        }
+        if found.written {
+            // The row of the previous process has the same addresses.
+            send_hellos(&shared, &socket).await;
+            return found.timeline;
+        }
     }
     let timeline = loop {
         match register(&shared, &own).await {
@@ -394,18 +399,28 @@
     reply.timeline.as_ref().and_then(|named| named.as_ref().ok()).copied()
 }
 
-/// Reads the rows of the other instances; returns whether the own row exists and is up to date, and the
-/// timeline of the store that was read.
-async fn read_members(shared: &Shared, own: &Member) -> Result<(bool, Option<u64>), StoreError> {
+/// What the store has about this instance.
+struct OwnRow {
+    /// Whether the own row exists and is up to date.
+    written: bool,
+    /// Whether it was written by a former process.
+    former: bool,
+    /// Timeline of the store that was read.
+    timeline: Option<u64>,
+}
+
+/// Reads the rows of all instances.
+async fn read_members(shared: &Shared, own: &Member) -> Result<OwnRow, StoreError> {
     let reply = (shared.store.read)(Table::Instances).await;
     let timeline = named(&reply);
     let rows = shared.settle(reply)?;
-    let mut written = false;
+    let mut found = OwnRow { written: false, former: false, timeline };
     for row in rows.rows {
         let Some(value) = row.value else { continue };
         match serde_json::from_slice::<Member>(&value) {
             Ok(member) if member.name == own.name => {
-                written = Member { born: own.born, ..member } == *own;
+                found.former = member.born != own.born;
+                found.written = Member { born: own.born, ..member } == *own;
             }
             Ok(member) => {
                 log_event!(shared.log, MEMBER_CHANGED, "member" => &*member.name,
@@ -416,7 +431,7 @@
                 "row" => &*row.key, "error" => error.to_string()),
         }
     }
-    Ok((written, timeline))
+    Ok(found)
 }
 
 async fn sweep(shared: Rc<Shared>) {
