Requests that crash endpoints at the same time are each found

Traced by the crashes and verdicts of that case, alone: all six endpoints crash within 0.1 s, come back 0.9 s later and crash again, so that each wave counts as one moment, and three moments take 2 s; and what the first quarantined request explains does not count for the second.

Fix: a request that was in five crashes over half a second or more is quarantined, in however few moments; and crashes that another request explains count for a request that goes on crashing without it.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -86,6 +86,23 @@
     own: Option<(Moment, Vec<u64>)>,
 }
 
+/// Times of the crashes that a suspect may have caused.
+#[derive(Clone, Debug, Default)]
+struct Evidence {
+    /// Those that nothing else explains.
+    crashes: Vec<Moment>,
+    /// For a request, those that another, quarantined request explains: each of two that come at the
+    /// same time may have caused them.
+    explained: Vec<Moment>,
+}
+
+impl Evidence {
+    fn sort(&mut self) {
+        self.crashes.sort_unstable();
+        self.explained.sort_unstable();
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     since: Moment,
@@ -363,12 +380,12 @@
         loop {
             let evidence = self.evidence();
             let sufficient =
-                evidence.iter().filter(|(part, crashes)| self.is_sufficient(**part, crashes));
+                evidence.iter().filter(|(part, evidence)| self.is_sufficient(**part, evidence));
             // A request with the evidence of its parts goes before them: it is the narrower verdict.
-            let guilty = sufficient.max_by_key(|(part, crashes)| {
+            let guilty = sufficient.max_by_key(|(part, Evidence { crashes, .. })| {
                 (distinct(crashes), crashes.len(), is_fingerprint(part.part), **part)
             });
-            let Some((part, crashes)) = guilty else {
+            let Some((part, Evidence { crashes, .. })) = guilty else {
                 self.note_doubted(&evidence, now);
                 return changes;
             };
@@ -391,8 +408,8 @@
     ///
     /// A quarantined request may have crashed endpoints by a part of its prompt, so that all its
     /// crashes count as one for parts.
-    fn evidence(&self) -> HashMap<ServicePart, Vec<Moment>> {
-        let mut evidence: HashMap<ServicePart, Vec<Moment>> = HashMap::new();
+    fn evidence(&self) -> HashMap<ServicePart, Evidence> {
+        let mut evidence: HashMap<ServicePart, Evidence> = HashMap::new();
         let mut counted = HashSet::new();
         for crash in &self.crashes {
             let part = |part: &u64| ServicePart { service: crash.service, part: *part };
@@ -400,35 +417,46 @@
             let known = suspects.filter(|suspect| self.entries.contains_key(suspect));
             let (requests, parts): (Vec<_>, Vec<_>) =
                 known.partition(|suspect| is_fingerprint(suspect.part));
-            let is_explained = !requests.is_empty();
-            if !parts.is_empty() || is_explained && !requests.iter().any(|r| counted.insert(*r)) {
+            if !parts.is_empty() {
                 continue;
             }
+            let is_first = requests.iter().any(|request| counted.insert(*request));
             for suspect in crash.suspects.iter().map(part) {
-                if is_explained && is_fingerprint(suspect.part) {
+                if self.survivors.get(&suspect).is_some_and(|at| *at >= crash.at)
+                    || self.entries.contains_key(&suspect)
+                {
                     continue;
                 }
-                if self.survivors.get(&suspect).is_none_or(|at| *at < crash.at) {
-                    evidence.entry(suspect).or_default().push(crash.at);
+                let known = evidence.entry(suspect).or_default();
+                if requests.is_empty() || is_first && !is_fingerprint(suspect.part) {
+                    known.crashes.push(crash.at);
+                } else if is_fingerprint(suspect.part) {
+                    known.explained.push(crash.at);
                 }
             }
         }
-        evidence.values_mut().for_each(|crashes| crashes.sort_unstable());
+        evidence.values_mut().for_each(Evidence::sort);
         evidence
     }
 
     /// Whether crashes are sufficient to quarantine a part.
-    fn is_sufficient(&self, part: ServicePart, crashes: &[Moment]) -> bool {
+    fn is_sufficient(&self, part: ServicePart, evidence: &Evidence) -> bool {
+        let Evidence { crashes, explained } = evidence;
         let proven = self.survivors.get(&part).zip(crashes.first());
         if proven.is_some_and(|(at, first)| first.since(*at) < PROVEN_AGE) {
             return distinct(crashes) >= PROVEN_CRASHES;
         }
-        distinct(crashes) >= MIN_CRASHES || has_recurred(crashes)
+        let mut all = [crashes.as_slice(), explained].concat();
+        all.sort_unstable();
+        let goes_on =
+            !crashes.is_empty() && (distinct(&all) >= PROVEN_CRASHES || has_recurred(&all));
+        let repeats = is_fingerprint(part.part) && has_repeated(crashes);
+        distinct(crashes) >= MIN_CRASHES || goes_on || repeats
     }
 
     /// Selects the survivals that other instances should know of.
-    fn note_doubted(&mut self, evidence: &HashMap<ServicePart, Vec<Moment>>, now: Moment) {
-        for (part, crashes) in evidence {
+    fn note_doubted(&mut self, evidence: &HashMap<ServicePart, Evidence>, now: Moment) {
+        for (part, Evidence { crashes, .. }) in evidence {
             let survived = self.survivors.get(part).is_some_and(|at| now.since(*at) < PROVEN_AGE);
             let doubted = distinct(crashes) >= DOUBTED_CRASHES || crashes.len() >= MASS_CRASHES;
             if survived && doubted {
@@ -482,6 +510,14 @@
     count
 }
 
+/// Whether one request was in many crashes, not all of them at the same moment. Unlike the parts of
+/// prompts, it is seldom at several endpoints when they end for another reason.
+fn has_repeated(crashes: &[Moment]) -> bool {
+    let span = crashes.first().zip(crashes.last());
+    crashes.len() >= MASS_CRASHES
+        && span.is_some_and(|(first, last)| last.since(*first) >= RECURRED_AFTER)
+}
+
 /// Whether a crash followed many others after a while.
 fn has_recurred(crashes: &[Moment]) -> bool {
     let mass = crashes.get(MASS_CRASHES - 1).zip(crashes.last());
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -87,6 +87,31 @@
         ],
         quarantined: &[GUILTY, REQUEST],
     },
+    Case {
+        name: "two requests that come at the same time",
+        steps: &[
+            Crash(0, &[REQUEST, OTHER_REQUEST]),
+            Crash(1000, &[REQUEST, OTHER_REQUEST]),
+            Crash(2000, &[REQUEST, OTHER_REQUEST]),
+            Check(2000, REQUEST, CLEAR),
+            Crash(3000, &[REQUEST]),
+            Check(3000, REQUEST, CLEAR),
+            PeerCrash(4000, &[REQUEST]),
+        ],
+        quarantined: &[REQUEST, OTHER_REQUEST],
+    },
+    Case {
+        name: "a request in four crashes at once and one half a second later",
+        steps: &[
+            Crash(0, &[REQUEST, GUILTY]),
+            Crash(10, &[REQUEST, GUILTY]),
+            PeerCrash(20, &[REQUEST, GUILTY]),
+            Crash(30, &[REQUEST, GUILTY]),
+            Check(400, REQUEST, CLEAR),
+            Crash(500, &[REQUEST, GUILTY]),
+        ],
+        quarantined: &[REQUEST],
+    },
     Case {
         name: "a request that stood beside another one",
         steps: &[
