--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -202,7 +202,7 @@
 ///
 /// On success the connection is stored in `connection` for reuse. It is closed on errors and if the
 /// response does not arrive in time, since a connection that has gone silent may never recover: the
-/// head within `limit`, the body as [`collect`] says.
+/// head within `limit`, the body at `MIN_RATE` or more without pauses longer than `limit`.
 ///
 /// # Errors
 ///
