--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for name in runner crash old_configuration; do
+for name in runner crash old_configuration many_parts; do
     rustc --edition 2024 -O "review/standins-3/$name.rs" -o "target/review-3/$name"
 done
